--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -26,28 +26,53 @@
 /// Failed requests remembered.
 const FAILED_MAX: usize = 4_096;
 
-const FULL: u32 = FIRSTS_A_REPEAT * REPEATS_SAVED;
-
 #[derive(Clone, Copy, Debug)]
 struct Failed {
     count: u32,
     back: Instant,
 }
 
+/// How many repeats a budget allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryShare {
+    /// First attempts that pay for one repeat.
+    pub firsts: u32,
+    /// Repeats that can be saved up.
+    pub saved: u32,
+}
+
+impl Default for RetryShare {
+    fn default() -> Self {
+        Self { firsts: FIRSTS_A_REPEAT, saved: REPEATS_SAVED }
+    }
+}
+
+impl RetryShare {
+    const fn full(self) -> u32 {
+        self.firsts * self.saved
+    }
+}
+
 /// Budget of one instance.
 #[derive(Debug)]
 pub struct RetryBudget {
+    share: RetryShare,
     firsts: u32,
     failed: BTreeMap<Fingerprint, Failed>,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { firsts: FULL, failed: BTreeMap::new() }
+        Self::new(RetryShare::default())
     }
 }
 
 impl RetryBudget {
+    /// Full budget with this share.
+    pub const fn new(share: RetryShare) -> Self {
+        Self { share, firsts: share.full(), failed: BTreeMap::new() }
+    }
+
     /// Takes in a caller's request; one that repeats a failed request before its back-off needs a token.
     pub fn arrive(&mut self, print: Fingerprint, now: Instant) -> Result<(), Duration> {
         match self.failed.get(&print) {
@@ -61,12 +86,12 @@
 
     /// Notes a first attempt that is about to reach a backend server.
     pub fn first(&mut self) {
-        self.firsts = (self.firsts + 1).min(FULL);
+        self.firsts = (self.firsts + 1).min(self.share.full());
     }
 
     /// Takes the token for one repeat, when there is one.
     pub const fn take(&mut self) -> bool {
-        match self.firsts.checked_sub(FIRSTS_A_REPEAT) {
+        match self.firsts.checked_sub(self.share.firsts) {
             Some(left) => {
                 self.firsts = left;
                 true
--- /dev/null
+++ b/crates/serving/src/answer.rs
@@ -0,0 +1,45 @@
+//! What a caller gets: a backend server's answer as it came, or a refusal of our own.
+
+use std::pin::Pin;
+
+use bytes::Bytes;
+use coltsfootpick_core::refusal::Refusal;
+use derive_more::{Display, Error};
+use futures_util::Stream;
+use http::response::Parts;
+
+/// The stream ended before it was whole; the caller must see that it did.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("the stream ended before it was whole")]
+pub struct StreamCut;
+
+/// Whole events of a streamed answer, in order.
+pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, StreamCut>> + Send>>;
+
+/// Body of an answer.
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Events as they come.
+    Events(EventStream),
+}
+
+/// Outcome of one request.
+pub enum Answer {
+    /// Answer of a backend server, its status and headers unchanged.
+    Relayed(Box<Parts>, AnswerBody),
+    /// Refusal.
+    Refused(Refusal),
+}
+
+impl std::fmt::Debug for Answer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Relayed(parts, AnswerBody::Whole(body)) => {
+                write!(f, "Relayed({}, {} bytes)", parts.status, body.len())
+            }
+            Self::Relayed(parts, AnswerBody::Events(_)) => write!(f, "Relayed({}, events)", parts.status),
+            Self::Refused(refusal) => write!(f, "Refused({refusal})"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/board.rs
@@ -0,0 +1,201 @@
+//! Blackboard of one instance: what its controllers write and the request path reads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use coltsfootpick_core::names::ServiceName;
+use coltsfootpick_core::quarantine::Quarantine;
+use coltsfootpick_core::retry::{RetryBudget, RetryShare};
+use coltsfootpick_core::routes::RouteTable;
+use coltsfootpick_core::spread::Place;
+use coltsfootpick_core::units::Instant;
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::metrics::Metrics;
+use crate::servers::ServerTable;
+
+/// Clock of one instance; tests pause it.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetClock {
+    origin: tokio::time::Instant,
+}
+
+/// Keeps a fresh clock clear of [`Instant::default`], which means "never".
+const CLOCK_START: Duration = Duration::from_secs(1);
+
+impl Default for FleetClock {
+    fn default() -> Self {
+        Self { origin: tokio::time::Instant::now() }
+    }
+}
+
+impl FleetClock {
+    /// Time since the clock's origin.
+    pub fn now(&self) -> Instant {
+        Instant(self.origin.elapsed() + CLOCK_START)
+    }
+}
+
+/// Who an instance is and how much of what all share it may take.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Where it stands.
+    pub place: Place,
+    /// Bounds of repeats over all instances.
+    pub repeats: RepeatBound,
+}
+
+/// Bound on arrivals beyond the first of each request, over all instances, in a sliding window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatBound {
+    /// Repeats a request.
+    pub ratio: f64,
+    /// Repeats beside that.
+    pub slack: u32,
+}
+
+/// Instances assumed until the fleet's size is known.
+const FLEET_MIN: usize = 6;
+
+/// Part of the fleet's bound that is used, so that windows that overlap stay within it.
+const REPEATS_USED: f64 = 0.5;
+
+/// Shared state.
+#[derive(Debug)]
+pub struct Board {
+    /// Who this instance is.
+    pub identity: Identity,
+    /// Time.
+    pub clock: FleetClock,
+    /// Backend servers.
+    pub servers: ServerTable,
+    /// Requests that crash servers.
+    pub quarantine: Mutex<Quarantine>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Cancelled once the instance takes no new connections.
+    pub draining: CancellationToken,
+    table: RwLock<Option<Arc<RouteTable>>>,
+    versions: watch::Sender<u64>,
+    listed: AtomicBool,
+    fleet: AtomicUsize,
+    open: AtomicU64,
+    repeats: Mutex<std::collections::BTreeMap<ServiceName, RetryBudget>>,
+}
+
+impl Board {
+    /// Board of a fresh instance.
+    pub fn new(identity: Identity) -> Arc<Self> {
+        Arc::new(Self {
+            identity,
+            clock: FleetClock::default(),
+            servers: ServerTable::default(),
+            quarantine: Mutex::default(),
+            metrics: Metrics::default(),
+            draining: CancellationToken::new(),
+            table: RwLock::default(),
+            versions: watch::Sender::new(0),
+            listed: AtomicBool::new(false),
+            fleet: AtomicUsize::new(FLEET_MIN),
+            open: AtomicU64::new(0),
+            repeats: Mutex::default(),
+        })
+    }
+
+    /// Document in force.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().clone()
+    }
+
+    /// Puts a document in force unless a newer one is.
+    pub fn put_table(&self, table: RouteTable) -> bool {
+        let version = table.version();
+        let mut current = self.table.write();
+        if current.as_ref().is_some_and(|known| known.version() >= version) {
+            return false;
+        }
+        *current = Some(Arc::new(table));
+        drop(current);
+        self.versions.send_replace(version);
+        true
+    }
+
+    /// Version in force, and its changes.
+    pub fn versions(&self) -> watch::Receiver<u64> {
+        self.versions.subscribe()
+    }
+
+    /// Notes that the list of servers was read once.
+    pub fn mark_listed(&self) {
+        self.listed.store(true, Ordering::Release);
+    }
+
+    /// Whether the instance can serve.
+    pub fn is_ready(&self) -> bool {
+        self.listed.load(Ordering::Acquire) && self.table.read().is_some() && !self.draining.is_cancelled()
+    }
+
+    /// Number of instances, as far as this one knows.
+    pub fn fleet(&self) -> usize {
+        self.fleet.load(Ordering::Relaxed)
+    }
+
+    /// Notes the number of instances heard of; a smaller number may only mean that some are silent.
+    pub fn note_fleet(&self, size: usize) {
+        self.fleet.fetch_max(size, Ordering::Relaxed);
+    }
+
+    /// Requests under way.
+    pub fn open(&self) -> u64 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as under way until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> OpenRequest {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        self.metrics.open.inc();
+        OpenRequest { board: Arc::clone(self) }
+    }
+
+    /// Notes a first sending to `service`.
+    pub fn note_first_send(&self, service: &ServiceName) {
+        self.with_repeats(service, RetryBudget::first);
+    }
+
+    /// Takes the right to one repeat at `service`, if there is one.
+    pub fn take_repeat(&self, service: &ServiceName) -> bool {
+        self.with_repeats(service, RetryBudget::take)
+    }
+
+    fn with_repeats<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.repeats.lock();
+        let share = || repeat_share(self.identity.repeats, self.fleet());
+        act(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(share())))
+    }
+}
+
+/// Share of one of `fleet` instances in the bound of all.
+fn repeat_share(bound: RepeatBound, fleet: usize) -> RetryShare {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "ratios lie between 0 and 1")]
+    let firsts = (1.0 / (bound.ratio * REPEATS_USED).max(0.001)).ceil() as u32;
+    let fleet = u32::try_from(fleet.max(1)).unwrap_or(u32::MAX);
+    RetryShare { firsts, saved: (bound.slack / 2 / fleet).max(1) }
+}
+
+/// Request under way.
+#[derive(Debug)]
+pub struct OpenRequest {
+    board: Arc<Board>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.board.open.fetch_sub(1, Ordering::Relaxed);
+        self.board.metrics.open.dec();
+    }
+}
--- /dev/null
+++ b/crates/serving/src/drain.rs
@@ -0,0 +1,38 @@
+//! End of an instance: new connections go elsewhere first, then open requests end, then credit is given back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::board::Board;
+use crate::events::Event;
+use crate::fleet_event;
+use crate::keeper::CreditKeeper;
+
+/// Time for the platform to notice that the instance is not ready: two questions a second apart, and one's answer.
+pub const NOTICE_TIME: Duration = Duration::from_millis(2_300);
+
+/// Time kept at the end to cut what is still open and to write the last record.
+pub const CLOSING_TIME: Duration = Duration::from_millis(900);
+
+/// How often open requests are counted.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Waits until every request has ended, at most until `grace` after the stop was asked for.
+///
+/// Returns the number of requests that are still open.
+pub async fn wait_for_open(board: &Arc<Board>, grace: Duration) -> u64 {
+    let asked = Instant::now();
+    let until = asked + grace.saturating_sub(CLOSING_TIME);
+    while Instant::now() < until && (asked.elapsed() < NOTICE_TIME || board.open() > 0) {
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    board.open()
+}
+
+/// Writes the last record of this instance's credit.
+pub async fn give_back(keeper: &CreditKeeper, limit: Duration) {
+    let is_closed = tokio::time::timeout(limit, keeper.close()).await;
+    fleet_event!(Event::Stopped, "credit-returned={}", matches!(is_closed, Ok(true)));
+}
--- /dev/null
+++ b/crates/serving/src/events.rs
@@ -0,0 +1,153 @@
+//! Numbered log events of the request path and its controllers; `docs/EVENTS.md` is their catalogue.
+
+use log::Level;
+
+/// Event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The process starts.
+    Started,
+    /// The process was asked to stop.
+    Stopping,
+    /// The process ends.
+    Stopped,
+    /// The settings were read again.
+    Reloaded,
+    /// A dependency stopped answering.
+    DependencyLost,
+    /// A dependency answers again.
+    DependencyBack,
+    /// Lines were dropped since there were too many.
+    LinesDropped,
+    /// A document came into force.
+    DocumentApplied,
+    /// A record was skipped.
+    RecordSkipped,
+    /// Records of a topic were dropped before they were read; the newest of each key are read instead.
+    TopicReread,
+    /// A backend server was listed.
+    ServerListed,
+    /// A backend server began to leave.
+    ServerLeaving,
+    /// A backend server is gone.
+    ServerGone,
+    /// The entry of a backend server lapsed while the store was away; it is kept for a while.
+    ServerLapsed,
+    /// A backend server started again.
+    ServerReplaced,
+    /// A backend server rests after a failure.
+    ServerRests,
+    /// A request was sent to a backend server.
+    Sent,
+    /// A sending ended without an answer that could be handed on.
+    SendFailed,
+    /// A stream goes on at another backend server.
+    StreamResumed,
+    /// A request was answered by a backend server.
+    Answered,
+    /// A request was refused.
+    Refused,
+    /// A caller left before its answer was whole.
+    CallerLeft,
+    /// A stream was cut before it was whole.
+    StreamCut,
+    /// Ceilings were written.
+    CeilingsWritten,
+    /// A write of ceilings has an unknown end.
+    CeilingsUnsure,
+    /// Another instance wrote first.
+    CeilingsMoved,
+    /// A request is suspected of crashing backend servers.
+    Suspected,
+}
+
+impl Event {
+    /// Every event.
+    pub const ALL: &[Self] = &[
+        Self::Started,
+        Self::Stopping,
+        Self::Stopped,
+        Self::Reloaded,
+        Self::DependencyLost,
+        Self::DependencyBack,
+        Self::LinesDropped,
+        Self::DocumentApplied,
+        Self::RecordSkipped,
+        Self::TopicReread,
+        Self::ServerListed,
+        Self::ServerLeaving,
+        Self::ServerGone,
+        Self::ServerLapsed,
+        Self::ServerReplaced,
+        Self::ServerRests,
+        Self::Sent,
+        Self::SendFailed,
+        Self::StreamResumed,
+        Self::Answered,
+        Self::Refused,
+        Self::CallerLeft,
+        Self::StreamCut,
+        Self::CeilingsWritten,
+        Self::CeilingsUnsure,
+        Self::CeilingsMoved,
+        Self::Suspected,
+    ];
+
+    /// Stable code.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Started => "CP1000",
+            Self::Stopping => "CP1001",
+            Self::Stopped => "CP1002",
+            Self::Reloaded => "CP1003",
+            Self::DependencyLost => "CP1010",
+            Self::DependencyBack => "CP1011",
+            Self::LinesDropped => "CP1020",
+            Self::DocumentApplied => "CP1100",
+            Self::RecordSkipped => "CP1101",
+            Self::TopicReread => "CP1102",
+            Self::ServerListed => "CP1200",
+            Self::ServerLeaving => "CP1201",
+            Self::ServerGone => "CP1202",
+            Self::ServerLapsed => "CP1203",
+            Self::ServerReplaced => "CP1204",
+            Self::ServerRests => "CP1205",
+            Self::Sent => "CP1300",
+            Self::SendFailed => "CP1301",
+            Self::StreamResumed => "CP1302",
+            Self::Answered => "CP1303",
+            Self::Refused => "CP1304",
+            Self::CallerLeft => "CP1305",
+            Self::StreamCut => "CP1306",
+            Self::CeilingsWritten => "CP1400",
+            Self::CeilingsUnsure => "CP1401",
+            Self::CeilingsMoved => "CP1402",
+            Self::Suspected => "CP1500",
+        }
+    }
+
+    /// Severity.
+    pub const fn level(self) -> Level {
+        match self {
+            Self::DependencyLost
+            | Self::LinesDropped
+            | Self::RecordSkipped
+            | Self::TopicReread
+            | Self::ServerLapsed
+            | Self::ServerRests
+            | Self::SendFailed
+            | Self::StreamCut
+            | Self::CeilingsUnsure
+            | Self::Suspected => Level::Warn,
+            _ => Level::Info,
+        }
+    }
+}
+
+/// Writes one log line for an event.
+#[macro_export]
+macro_rules! fleet_event {
+    ($event:expr, $($arg:tt)+) => {
+        log::log!($event.level(), "{} {}", $event.code(), format_args!($($arg)+))
+    };
+}
--- /dev/null
+++ b/crates/serving/src/keeper.rs
@@ -0,0 +1,342 @@
+//! Credit of this instance: reservations of requests, and the ceilings in the store that cover them.
+//!
+//! One task renews the ceilings of all accounts with one conditional write; requests only touch memory, and wait for
+//! it when a ceiling is too low. See `docs/CREDIT.md`.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use coltsfootpick_core::ceilings::{CeilingPolicy, CreditBook, HolderRecord, Purses, ReserveOutcome};
+use coltsfootpick_core::names::ClientAccountName;
+use coltsfootpick_core::refusal::{Code, Refusal};
+use coltsfootpick_core::units::{Offset, Tokens};
+use coltsfootpick_wire::ceilings::HolderMessage;
+use parking_lot::Mutex;
+use prost::Message;
+use rand::RngExt;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::board::Board;
+use crate::borders::{KeyedLog, KeyedRecord, StoreError, Topic};
+use crate::events::Event;
+use crate::feed::read_newest;
+use crate::fleet_event;
+
+/// How often ceilings are looked at when no request waits for them.
+const RENEW_EVERY: Duration = Duration::from_millis(800);
+
+/// Least time between two renewals, so that requests that wait together share one.
+const RENEW_GAP: Duration = Duration::from_millis(40);
+
+/// Longest random pause after another instance wrote first.
+const MOVED_PAUSE_MS: u64 = 25;
+
+/// Pause after the store did not take a write.
+const LOST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest wait of a request for a higher ceiling.
+const GRANT_WAIT: Duration = Duration::from_millis(300);
+
+/// When a request without credit should come back while the store does not answer.
+const STORE_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Time after its announcement in which a fresh holder hears of the others before it takes its share.
+const ANNOUNCE_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Reads and writes tried for one renewal.
+const TRIES_MAX: usize = 12;
+
+/// Tokens set aside for one request; dropped, it settles what was used.
+#[derive(Debug)]
+pub struct Charge {
+    keeper: Arc<CreditKeeper>,
+    account: ClientAccountName,
+    bound: Tokens,
+    used: Tokens,
+}
+
+impl Charge {
+    /// Sets what the request used so far.
+    pub const fn set_used(&mut self, used: Tokens) {
+        self.used = used;
+    }
+
+    /// What the request used so far.
+    pub const fn used(&self) -> Tokens {
+        self.used
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        let now = self.keeper.board.clock.now();
+        self.keeper.purses.lock().settle(&self.account, self.bound, self.used, now);
+        self.keeper.board.metrics.tokens.inc_by(self.used.0);
+    }
+}
+
+/// Controller of this instance's credit.
+#[derive(Debug)]
+pub struct CreditKeeper {
+    board: Arc<Board>,
+    log: Arc<dyn KeyedLog>,
+    purses: Mutex<Purses>,
+    book: Mutex<CreditBook>,
+    policy: CeilingPolicy,
+    wanted: Notify,
+    renewed: watch::Sender<u64>,
+    reachable: AtomicBool,
+}
+
+/// Why a renewal did not come to an end.
+enum Renewal {
+    Done,
+    Lost,
+    Moved,
+}
+
+impl CreditKeeper {
+    /// Keeper that writes under the name `holder`.
+    pub fn new(board: Arc<Board>, log: Arc<dyn KeyedLog>, holder: Arc<str>, policy: CeilingPolicy) -> Arc<Self> {
+        Arc::new(Self {
+            board,
+            log,
+            purses: Mutex::new(Purses::new(holder, policy)),
+            book: Mutex::default(),
+            policy,
+            wanted: Notify::new(),
+            renewed: watch::Sender::new(0),
+            reachable: AtomicBool::new(false),
+        })
+    }
+
+    /// Sets `bound` tokens of `account` aside, waiting a little for a higher ceiling.
+    pub async fn reserve(
+        self: &Arc<Self>,
+        account: &ClientAccountName,
+        bound: Tokens,
+        prepaid: Tokens,
+        until: Instant,
+    ) -> Result<Charge, Refusal> {
+        let until = until.min(Instant::now() + GRANT_WAIT);
+        let mut renewed = self.renewed.subscribe();
+        let mut waiting: Option<Waiting<'_>> = None;
+        loop {
+            let outcome = self.purses.lock().reserve(account, bound, prepaid);
+            match outcome {
+                ReserveOutcome::Reserved => {
+                    let keeper = Arc::clone(self);
+                    return Ok(Charge { keeper, account: account.clone(), bound, used: Tokens::ZERO });
+                }
+                ReserveOutcome::Exhausted => return Err(self.refusal(Code::BudgetExhausted, account, bound)),
+                ReserveOutcome::Short if !self.reachable.load(Ordering::Relaxed) => {
+                    return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(STORE_BACKOFF));
+                }
+                ReserveOutcome::Short => {}
+            }
+            waiting.get_or_insert_with(|| Waiting::new(self, account, bound));
+            self.wanted.notify_one();
+            let changed = tokio::time::timeout_at(until, renewed.changed()).await;
+            if !matches!(changed, Ok(Ok(()))) {
+                return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(STORE_BACKOFF));
+            }
+        }
+    }
+
+    fn refusal(&self, code: Code, account: &ClientAccountName, bound: Tokens) -> Refusal {
+        let (used, reserved, ceiling) = self.purses.lock().view(account);
+        let detail = format!("account={account} bound={bound} used={used} reserved={reserved} ceiling={ceiling}");
+        Refusal::not_run(code, detail)
+    }
+
+    /// Renews ceilings until `stop`.
+    pub async fn run(self: Arc<Self>, stop: CancellationToken) {
+        let mut versions = self.board.versions();
+        let mut is_announced = false;
+        while !stop.is_cancelled() {
+            let pause = match self.renew(!is_announced).await {
+                Renewal::Done if !is_announced && self.board.table().is_some() => {
+                    is_announced = true;
+                    ANNOUNCE_WAIT
+                }
+                Renewal::Done => RENEW_EVERY,
+                Renewal::Moved => RENEW_GAP,
+                Renewal::Lost => LOST_PAUSE,
+            };
+            tokio::time::sleep(RENEW_GAP).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.wanted.notified() => {}
+                changed = versions.changed() => if changed.is_err() { return },
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+
+    /// Gives back everything above what was used; true once the store has it.
+    pub async fn close(&self) -> bool {
+        let document = self.board.table().map_or(0, |table| table.version());
+        let record = self.purses.lock().close(document);
+        for _ in 0..TRIES_MAX {
+            if self.read().await.is_err() {
+                return false;
+            }
+            match self.write(&record).await {
+                Renewal::Done => return true,
+                Renewal::Lost => return false,
+                Renewal::Moved => {}
+            }
+        }
+        false
+    }
+
+    /// Brings the ceilings up to date; an announcement holds no ceilings and only tells that the holder lives.
+    async fn renew(&self, announces: bool) -> Renewal {
+        for _ in 0..TRIES_MAX {
+            if let Err(error) = self.read().await {
+                self.note_reach(false, &error.to_string());
+                return Renewal::Lost;
+            }
+            self.note_reach(true, "");
+            let Some(record) = self.plan(announces) else {
+                self.renewed.send_modify(|count| *count += 1);
+                return Renewal::Done;
+            };
+            match self.write(&record).await {
+                Renewal::Moved => {
+                    let pause = rand::rng().random_range(1..=MOVED_PAUSE_MS);
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                }
+                ended => return ended,
+            }
+        }
+        Renewal::Moved
+    }
+
+    fn plan(&self, announces: bool) -> Option<HolderRecord> {
+        let (now, table) = (self.board.clock.now(), self.board.table());
+        let version = table.as_ref().map_or(0, |table| table.version());
+        let (book, mut purses) = (self.book.lock(), self.purses.lock());
+        if announces {
+            return purses.plan(&book, version, [], now, true);
+        }
+        let limited = table.iter().flat_map(|table| table.accounts());
+        let limited = limited.filter_map(|account| account.prepaid.map(|prepaid| (&account.name, prepaid)));
+        purses.plan(&book, version, limited, now, false)
+    }
+
+    /// Reads every record that was written since.
+    async fn read(&self) -> Result<(), StoreError> {
+        let from = self.book.lock().next();
+        let read = match from {
+            Offset(0) => Err(StoreError::Trimmed),
+            from => self.log.read(Topic::Credit, from, Duration::ZERO).await.map(|batch| (batch.records, batch.next)),
+        };
+        let (records, next) = match read {
+            Err(StoreError::Trimmed) => read_newest(&*self.log, Topic::Credit).await?,
+            read => read?,
+        };
+        let now = self.board.clock.now();
+        let mut book = self.book.lock();
+        for record in records {
+            apply(&mut book, record, now);
+        }
+        book.advance(next);
+        let mut purses = self.purses.lock();
+        let holder = Arc::clone(purses.holder());
+        self.board.note_fleet(book.alive(&holder, now, self.policy.silence) + 1);
+        purses.read_back(book.record(&holder), book.next());
+        Ok(())
+    }
+
+    async fn write(&self, record: &HolderRecord) -> Renewal {
+        let at = self.book.lock().next();
+        let holder = Arc::clone(self.purses.lock().holder());
+        let value = Some(HolderMessage::from(record).encode_to_vec().into());
+        let keyed = KeyedRecord { key: Arc::clone(&holder), value };
+        match self.log.append(Topic::Credit, at, keyed).await {
+            Ok(end) => {
+                let mut book = self.book.lock();
+                book.apply(&holder, record.clone(), self.board.clock.now());
+                book.advance(end);
+                self.purses.lock().confirm(record);
+                self.renewed.send_modify(|count| *count += 1);
+                fleet_event!(Event::CeilingsWritten, "{}", describe(record, end));
+                Renewal::Done
+            }
+            Err(StoreError::Moved(end)) => {
+                fleet_event!(Event::CeilingsMoved, "at={at} end={end}");
+                self.restore();
+                Renewal::Moved
+            }
+            Err(StoreError::Unknown(error)) => {
+                fleet_event!(Event::CeilingsUnsure, "at={at} error={error:?}");
+                self.purses.lock().note_unknown(at, record.clone());
+                self.note_reach(false, &error);
+                Renewal::Lost
+            }
+            Err(error) => {
+                self.restore();
+                self.note_reach(false, &error.to_string());
+                Renewal::Lost
+            }
+        }
+    }
+
+    /// Returns to the ceilings of this holder's newest record after a write that did not take effect.
+    fn restore(&self) {
+        let (book, mut purses) = (self.book.lock(), self.purses.lock());
+        let holder = Arc::clone(purses.holder());
+        purses.restore(book.record(&holder));
+    }
+
+    fn note_reach(&self, is_reached: bool, error: &str) {
+        if self.reachable.swap(is_reached, Ordering::Relaxed) == is_reached {
+            return;
+        }
+        match is_reached {
+            true => fleet_event!(Event::DependencyBack, "store topic=credit"),
+            false => fleet_event!(Event::DependencyLost, "store topic=credit error={error:?}"),
+        }
+        self.renewed.send_modify(|count| *count += 1);
+    }
+}
+
+/// Request that waits for a higher ceiling.
+struct Waiting<'a> {
+    keeper: &'a CreditKeeper,
+    account: &'a ClientAccountName,
+    bound: Tokens,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(keeper: &'a CreditKeeper, account: &'a ClientAccountName, bound: Tokens) -> Self {
+        keeper.purses.lock().want(account, bound, true);
+        Self { keeper, account, bound }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.keeper.purses.lock().want(self.account, self.bound, false);
+    }
+}
+
+fn apply(book: &mut CreditBook, record: KeyedRecord, now: coltsfootpick_core::units::Instant) {
+    let Some(value) = record.value else { return };
+    match HolderMessage::decode(value) {
+        Ok(message) => book.apply(&record.key, message.into(), now),
+        Err(error) => fleet_event!(Event::RecordSkipped, "topic=credit key={:?} reason={error}", record.key),
+    }
+}
+
+fn describe(record: &HolderRecord, end: Offset) -> String {
+    let mut text = format!("end={end} document={} closed={}", record.document, record.closed);
+    for (account, holding) in &record.holdings {
+        text.push_str(&format!(" {account}={}/{}", holding.settled, holding.ceiling));
+    }
+    text
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,27 @@
+//! The way of a request through one instance: typed requests in, typed outcomes out.
+//!
+//! Borders to the store, to backend servers' dialect and to time are traits, so that every fault can be played
+//! without a network. `docs/PLATFORM.md` tells how the parts meet; imports go from the top of this list downwards.
+
+pub mod path;
+pub mod stream;
+
+pub mod drain;
+pub mod exchange;
+pub mod keeper;
+
+pub mod document;
+pub mod feed;
+pub mod registry;
+
+pub mod board;
+pub mod pool;
+pub mod servers;
+
+pub mod answer;
+pub mod borders;
+pub mod events;
+pub mod lines;
+pub mod metrics;
+pub mod request;
+pub mod settings;
--- /dev/null
+++ b/crates/serving/src/metrics.rs
@@ -0,0 +1,78 @@
+//! Counters and latency histograms in the Prometheus text format; `docs/OPERATIONS.md` lists them.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Upper bounds of the latency buckets, in seconds.
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/// Label pair of one dimension.
+pub type Label = [(&'static str, String); 1];
+
+/// Counters of one instance.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests that ended, by outcome.
+    pub ended: Family<Label, Counter>,
+    /// Requests under way.
+    pub open: Gauge,
+    /// Sendings to backend servers, by outcome.
+    pub sends: Family<Label, Counter>,
+    /// Calls to the store, by outcome.
+    pub store: Family<Label, Counter>,
+    /// Tokens settled.
+    pub tokens: Counter,
+    /// Time from arrival to the first byte of an answer.
+    pub first: Histogram,
+    /// Time from arrival to the end of an answer.
+    pub whole: Histogram,
+    registry: Registry,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            ended: Family::default(),
+            open: Gauge::default(),
+            sends: Family::default(),
+            store: Family::default(),
+            tokens: Counter::default(),
+            first: Histogram::new(BUCKETS),
+            whole: Histogram::new(BUCKETS),
+            registry: Registry::with_prefix("coltsfootpick"),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests_ended", "Requests that ended, by outcome", self.ended.clone());
+        registry.register("requests_open", "Requests under way", self.open.clone());
+        registry.register("sends", "Sendings to backend servers, by outcome", self.sends.clone());
+        registry.register("store_calls", "Calls to the store, by outcome", self.store.clone());
+        registry.register("settled_tokens", "Tokens settled", self.tokens.clone());
+        let first = self.first.clone();
+        registry.register_with_unit("first_byte", "From arrival to the answer's first byte", Unit::Seconds, first);
+        let whole = self.whole.clone();
+        registry.register_with_unit("whole_answer", "From arrival to the answer's end", Unit::Seconds, whole);
+    }
+
+    /// Counts one more of `outcome` in a family.
+    pub fn count(family: &Family<Label, Counter>, outcome: &str) {
+        family.get_or_create(&[("outcome", outcome.to_owned())]).inc();
+    }
+
+    /// Everything as text.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string succeeds");
+        text
+    }
+}
--- /dev/null
+++ b/crates/serving/src/registry.rs
@@ -0,0 +1,110 @@
+//! Keeps the table of backend servers in step with the store's list.
+//!
+//! Entries that lapse while the store is away say nothing about their servers: they are kept until the servers had
+//! time to list themselves again. See `docs/PLATFORM.md#servers`.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootpick_core::names::BackendServerName;
+use tokio::time::Instant;
+
+use crate::board::Board;
+use crate::borders::{KeyedRecord, RecordDialect};
+use crate::events::Event;
+use crate::feed::FeedSink;
+use crate::fleet_event;
+use crate::servers::EntryChange;
+
+/// Time after an outage within which living servers list themselves again (the users' letter says two seconds).
+pub const RELIST_TIME: Duration = Duration::from_secs(2);
+
+/// Controller of the server table.
+#[derive(Debug)]
+pub struct ServerKeeper {
+    board: Arc<Board>,
+    dialect: Arc<dyn RecordDialect>,
+    trusted: Option<Instant>,
+    lapsed: BTreeMap<BackendServerName, Instant>,
+}
+
+impl ServerKeeper {
+    /// Keeper of an empty table.
+    pub const fn new(board: Arc<Board>, dialect: Arc<dyn RecordDialect>) -> Self {
+        Self { board, dialect, trusted: None, lapsed: BTreeMap::new() }
+    }
+
+    fn put(&mut self, record: &KeyedRecord) {
+        let entry = match self.dialect.server(record) {
+            Ok(entry) => entry,
+            Err(error) => {
+                fleet_event!(Event::RecordSkipped, "topic=servers key={:?} reason={error}", record.key);
+                return;
+            }
+        };
+        self.lapsed.remove(&entry.name);
+        let (name, service, address) = (entry.name.clone(), entry.service.clone(), entry.address);
+        let event = match self.board.servers.put(entry) {
+            EntryChange::Same => return,
+            EntryChange::Listed => Event::ServerListed,
+            EntryChange::Replaced => Event::ServerReplaced,
+            EntryChange::Leaving => Event::ServerLeaving,
+        };
+        fleet_event!(event, "server={name} service={service} address={address}");
+    }
+
+    fn drop_entry(&mut self, name: BackendServerName) {
+        let now = Instant::now();
+        match self.trusted {
+            Some(until) if now < until => {
+                fleet_event!(Event::ServerLapsed, "server={name} kept_ms={}", (until - now).as_millis());
+                self.lapsed.insert(name, until);
+            }
+            _ => self.remove(&name, "entry-removed"),
+        }
+    }
+
+    fn remove(&self, name: &BackendServerName, reason: &str) {
+        if let Some(server) = self.board.servers.remove(name) {
+            fleet_event!(Event::ServerGone, "server={name} service={} reason={reason}", server.entry.service);
+        }
+    }
+}
+
+impl FeedSink for ServerKeeper {
+    fn take_list(&mut self, records: Vec<KeyedRecord>) {
+        let listed: Vec<BackendServerName> =
+            records.iter().map(|record| BackendServerName::from(&*record.key)).collect();
+        for record in &records {
+            self.put(record);
+        }
+        for name in self.board.servers.names() {
+            if !listed.contains(&name) && !self.lapsed.contains_key(&name) {
+                self.drop_entry(name);
+            }
+        }
+        self.board.mark_listed();
+    }
+
+    fn take(&mut self, record: KeyedRecord) {
+        match record.value {
+            Some(_) => self.put(&record),
+            None => self.drop_entry(BackendServerName::from(&*record.key)),
+        }
+    }
+
+    fn note_back(&mut self, _outage: Duration) {
+        self.trusted = Some(Instant::now() + RELIST_TIME);
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        let over: Vec<BackendServerName> =
+            self.lapsed.iter().filter(|(_, until)| **until <= now).map(|(name, _)| name.clone()).collect();
+        for name in over {
+            self.lapsed.remove(&name);
+            self.remove(&name, "not-listed-again");
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/settings.rs
@@ -0,0 +1,166 @@
+//! Settings of one instance of the request path; `docs/SETTINGS.md#edge` lists them.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootpick_core::ceilings::CeilingPolicy;
+use coltsfootpick_core::ini::{self, Fault, Section, fault};
+use coltsfootpick_core::names::{AvailabilityZoneName, RegionName};
+use coltsfootpick_core::spread::Place;
+use derive_more::{Display, Error};
+
+use crate::board::{Identity, RepeatBound};
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who the instance is.
+    pub identity: Identity,
+    /// Every availability zone and its region.
+    pub places: Vec<Place>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness and metrics are asked for.
+    pub ready: SocketAddr,
+    /// Where metrics alone are asked for, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// The store.
+    pub store: SocketAddr,
+    /// Time from a stop signal to the end.
+    pub grace: Duration,
+    /// How far ceilings stand above what was used.
+    pub ceilings: CeilingPolicy,
+    /// Least severe log lines written.
+    pub level: String,
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Display, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[display("cannot read {}: {source}", path.display())]
+    Read {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The file has faults.
+    #[display("{} faults in {}:{}", faults.len(), path.display(), listed(faults))]
+    Faults {
+        /// File.
+        path: PathBuf,
+        /// Everything wrong.
+        faults: Vec<Fault>,
+    },
+}
+
+fn listed(faults: &[Fault]) -> String {
+    faults.iter().fold(String::new(), |lines, fault| lines + "\n  " + &fault.to_string())
+}
+
+/// Sections of the file, each once.
+const SECTIONS: [&str; 6] = ["instance", "listen", "store", "credit", "repeats", "logs"];
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
+        Self::parse(&text).map_err(|faults| SettingsError::Faults { path: path.to_owned(), faults })
+    }
+
+    /// Checks the text of a file, or lists everything wrong with it.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        let (mut sections, mut faults) = ini::parse(text);
+        let mut take = |kind: &str, faults: &mut Vec<Fault>| {
+            let at = sections.iter().position(|section| section.kind == kind);
+            match at {
+                Some(at) => sections.remove(at),
+                None => missing(kind, faults),
+            }
+        };
+        let [mut instance, mut listen, mut store, mut credit, mut repeats, mut logs] =
+            SECTIONS.map(|kind| take(kind, &mut faults));
+        let places = read_places(&mut instance);
+        let place = read_place(&mut instance, &places);
+        let settings = (|| {
+            Some(Self {
+                identity: Identity {
+                    name: Arc::from(instance.required("name", "the instance's name")),
+                    place: place?,
+                    repeats: RepeatBound {
+                        ratio: repeats.parsed("ratio", "repeats a request, from 0 to 1").unwrap_or(0.0),
+                        slack: u32::try_from(repeats.number("slack", 0..=1_000_000, 0)).ok()?,
+                    },
+                },
+                places,
+                callers: address(&mut listen, "callers")?,
+                ready: address(&mut listen, "ready")?,
+                metrics: listen.parsed("metrics", "IP:PORT"),
+                store: address(&mut store, "address")?,
+                grace: Duration::from_secs(instance.number("grace-s", 1..=3_600, 8)),
+                ceilings: read_ceilings(&mut credit),
+                level: logs.text("level").unwrap_or_else(|| "info".to_owned()),
+            })
+        })();
+        for section in [instance, listen, store, credit, repeats, logs] {
+            section.finish(&mut faults);
+        }
+        for section in sections {
+            faults.push(fault(section.line, &section.title(), "", "an unknown section", &SECTIONS.join(", ")));
+        }
+        settings.filter(|_| faults.is_empty()).ok_or(faults)
+    }
+}
+
+/// An absent section is empty; keys that it must have are found missing from it.
+fn missing(kind: &str, faults: &mut Vec<Fault>) -> Section {
+    let (mut sections, _) = ini::parse(&format!("[{kind}]"));
+    if matches!(kind, "instance" | "listen" | "store") {
+        faults.push(fault(0, kind, "", "nothing", "the section"));
+    }
+    sections.remove(0)
+}
+
+fn address(section: &mut Section, key: &'static str) -> Option<SocketAddr> {
+    section.required_parsed(key, "IP:PORT")
+}
+
+fn read_ceilings(credit: &mut Section) -> CeilingPolicy {
+    let default = CeilingPolicy::default();
+    CeilingPolicy {
+        share: credit.number("share-percent", 1..=100, default.share),
+        window: credit.millis("window-ms", 100..=600_000, millis(default.window)),
+        silence: credit.millis("silence-ms", 1_000..=3_600_000, millis(default.silence)),
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn read_places(instance: &mut Section) -> Vec<Place> {
+    let listed = instance.list("zones");
+    let mut places = Vec::with_capacity(listed.len());
+    for word in listed {
+        match word.split_once(':') {
+            Some((zone, region)) => {
+                places.push(Place { zone: AvailabilityZoneName::from(zone), region: RegionName::from(region) });
+            }
+            None => instance.note("zones", &word, "ZONE:REGION, separated by commas"),
+        }
+    }
+    places
+}
+
+fn read_place(instance: &mut Section, places: &[Place]) -> Option<Place> {
+    let zone = instance.required("zone", "an availability zone of the list zones");
+    let place = places.iter().find(|place| *place.zone == *zone).cloned();
+    if place.is_none() && !zone.is_empty() {
+        instance.note("zone", &zone, "an availability zone of the list zones");
+    }
+    place
+}
--- /dev/null
+++ b/crates/wire/src/ceilings.rs
@@ -0,0 +1,63 @@
+//! Encoded record of a holder's ceilings, the newest of which the store keeps for each holder.
+
+use coltsfootpick_core::ceilings::{HolderRecord, Holding};
+use coltsfootpick_core::names::ClientAccountName;
+use coltsfootpick_core::units::Tokens;
+use prost::Message;
+
+/// Ceiling of one account.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct CeilingMessage {
+    /// Account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// Tokens that the holder may use in total.
+    #[prost(uint64, tag = "2")]
+    pub ceiling: u64,
+    /// Tokens used when this was written.
+    #[prost(uint64, tag = "3")]
+    pub settled: u64,
+}
+
+/// Newest record of a holder.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct HolderMessage {
+    /// Ceilings.
+    #[prost(message, repeated, tag = "1")]
+    pub ceilings: Vec<CeilingMessage>,
+    /// Version of the document that the holder went by.
+    #[prost(uint64, tag = "2")]
+    pub document: u64,
+    /// Whether the holder ended.
+    #[prost(bool, tag = "3")]
+    pub closed: bool,
+}
+
+impl From<&HolderRecord> for HolderMessage {
+    fn from(record: &HolderRecord) -> Self {
+        let encode = |(account, holding): (&ClientAccountName, &Holding)| CeilingMessage {
+            account: account.to_string(),
+            ceiling: holding.ceiling.0,
+            settled: holding.settled.0,
+        };
+        Self {
+            ceilings: record.holdings.iter().map(encode).collect(),
+            document: record.document,
+            closed: record.closed,
+        }
+    }
+}
+
+impl From<HolderMessage> for HolderRecord {
+    fn from(message: HolderMessage) -> Self {
+        let decode = |entry: CeilingMessage| {
+            let holding = Holding { ceiling: Tokens(entry.ceiling), settled: Tokens(entry.settled) };
+            (ClientAccountName::from(entry.account), holding)
+        };
+        Self {
+            holdings: message.ceilings.into_iter().map(decode).collect(),
+            document: message.document,
+            closed: message.closed,
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Encodings: records of our log streams, authenticated frames between instances, and the platform's protocol.
 
+pub mod ceilings;
 pub mod claims;
 pub mod convert;
 pub mod envelope;
