A stopping instance takes no request later than 2.3 s after SIGTERM

Open connections were shut down at 2.3 s, but new ones, which the platform sends while too few instances of the zone are ready, were served to the end. Change: a second token, closing, refuses new requests as not run, with a return after 50 ms.

--- a/crates/serving/src/board.rs
+++ b/crates/serving/src/board.rs
@@ -80,6 +80,8 @@
     pub metrics: Metrics,
     /// Cancelled once the instance takes no new connections.
     pub draining: CancellationToken,
+    /// Cancelled once the instance takes no new requests on open connections either.
+    pub closing: CancellationToken,
     table: RwLock<Option<Arc<RouteTable>>>,
     versions: watch::Sender<u64>,
     listed: AtomicBool,
@@ -98,6 +100,7 @@
             quarantine: Mutex::default(),
             metrics: Metrics::default(),
             draining: CancellationToken::new(),
+            closing: CancellationToken::new(),
             table: RwLock::default(),
             versions: watch::Sender::new(0),
             listed: AtomicBool::new(false),
--- a/crates/serving/src/drain.rs
+++ b/crates/serving/src/drain.rs
@@ -19,13 +19,17 @@
 /// How often open requests are counted.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-/// Waits until every request has ended, at most until `grace` after the stop was asked for.
+/// Stops taking connections, then requests, and waits until every request has ended, at most until `grace` after the
+/// stop was asked for.
 ///
 /// Returns the number of requests that are still open.
 pub async fn wait_for_open(board: &Arc<Board>, grace: Duration) -> u64 {
     let asked = Instant::now();
     let until = asked + grace.saturating_sub(CLOSING_TIME);
-    while Instant::now() < until && (asked.elapsed() < NOTICE_TIME || board.open() > 0) {
+    board.draining.cancel();
+    tokio::time::sleep_until(until.min(asked + NOTICE_TIME)).await;
+    board.closing.cancel();
+    while Instant::now() < until && board.open() > 0 {
         tokio::time::sleep(LOOK_EVERY).await;
     }
     board.open()
--- a/crates/serving/src/path.rs
+++ b/crates/serving/src/path.rs
@@ -32,6 +32,9 @@
 /// When a request that came before the first document should come back.
 const START_BACKOFF: Duration = Duration::from_millis(500);
 
+/// When a request that came to a stopping instance should come back; another instance takes it at once.
+const DRAINING_BACKOFF: Duration = Duration::from_millis(50);
+
 /// Servers tried for one request when none of them ran it.
 const TRIES_MAX: usize = 4;
 
@@ -61,7 +64,7 @@
     tried: Vec<BackendServerName>,
     sends: u32,
     has_run: bool,
-    entered: OpenRequest,
+    _entered: OpenRequest,
 }
 
 impl Accepted {
@@ -130,6 +133,9 @@
     }
 
     async fn accept(&self, request: CallerRequest) -> Result<Accepted, Refusal> {
+        if self.board.closing.is_cancelled() {
+            return Err(Refusal::not_run(Code::Draining, "the instance is stopping").retry_after(DRAINING_BACKOFF));
+        }
         let Some(table) = self.board.table() else {
             let refusal = Refusal::not_run(Code::NoBackendServer, "no document was read yet");
             return Err(refusal.retry_after(START_BACKOFF));
@@ -147,10 +153,10 @@
         let charge = self.reserve(&request, account.as_deref(), until).await?;
         let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
         let stride = engines.map_or(STRIDE_DEFAULT, |spec| spec.stride);
-        let entered = self.board.enter();
+        let _entered = self.board.enter();
         let tried = Vec::new();
         let (sends, has_run) = (0, false);
-        Ok(Accepted { request, route, service, account, stride, until, charge, tried, sends, has_run, entered })
+        Ok(Accepted { request, route, service, account, stride, until, charge, tried, sends, has_run, _entered })
     }
 
     async fn reserve(
