Instances lend each other room below their ceilings

Change: an instance that the store cannot help asks peers; the giver's written ceiling keeps covering what it lent, so the sum in the log stays. Peers are listed in the store; links are opened on first use.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -91,6 +91,18 @@
         sums
     }
 
+    /// Holders other than `own` with the room of `account` that their newest records show, most first.
+    pub fn rooms(&self, own: &str, account: &ClientAccountName) -> Vec<(Arc<str>, Tokens)> {
+        let others = self.holders.iter().filter(|(name, heard)| &***name != own && !heard.record.closed);
+        let room = |heard: &Heard| {
+            let holding = heard.record.holdings.get(account).copied().unwrap_or_default();
+            holding.ceiling.less(holding.settled)
+        };
+        let mut rooms: Vec<_> = others.map(|(name, heard)| (Arc::clone(name), room(heard))).collect();
+        rooms.sort_by_key(|(name, room)| (std::cmp::Reverse(*room), Arc::clone(name)));
+        rooms
+    }
+
     /// Holders other than `own` that are still heard of.
     pub fn alive(&self, own: &str, now: Instant, silence: Duration) -> usize {
         let others = self.holders.iter().filter(|(name, _)| &***name != own);
@@ -132,6 +144,9 @@
 /// Span over which the rate of use is taken, in units of [`Demand`]'s horizon.
 const RATE_HORIZON: Duration = Duration::from_secs(5);
 
+/// Time of own use that is borrowed at once, so that loans stay rare.
+const LOAN_WINDOW: Duration = Duration::from_secs(2);
+
 /// Part of its share that a holder keeps before it has used anything, in hundredths of the account.
 const BASE_SHARE: u64 = 1;
 
@@ -151,21 +166,33 @@
     ceiling: Tokens,
     used: Tokens,
     reserved: Tokens,
+    borrowed: Tokens,
+    lent: Tokens,
     wanted: Tokens,
     demand: Demand,
     seen: Tokens,
 }
 
 impl Purse {
+    /// What the written ceiling must cover: own use and what was lent, less what others' ceilings cover.
     fn taken(&self) -> Tokens {
-        self.used + self.reserved
+        (self.used + self.reserved + self.lent).less(self.borrowed)
     }
 
     fn room(&self) -> Tokens {
-        self.ceiling.less(self.taken())
+        (self.ceiling + self.borrowed).less(self.used + self.reserved + self.lent)
     }
 }
 
+/// Room that one holder passes to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loan {
+    /// Tokens passed on.
+    pub amount: Tokens,
+    /// Room that the giver has left.
+    pub left: Tokens,
+}
+
 /// Credit of one holder.
 #[derive(Debug)]
 pub struct Purses {
@@ -214,9 +241,38 @@
         purse.demand.add(used, now, RATE_HORIZON);
     }
 
+    /// Passes room to another holder: at least `least`, up to `most` or half of what there is.
+    ///
+    /// The giver's written ceiling covers what it lent, so the sum that the log knows does not change.
+    pub fn lend(&mut self, account: &ClientAccountName, least: Tokens, most: Tokens) -> Loan {
+        let purse = self.purses.entry(account.clone()).or_default();
+        let room = purse.room();
+        let amount = if room < least { Tokens::ZERO } else { most.min(Tokens(room.0 / 2)).max(least) };
+        purse.lent += amount;
+        Loan { amount, left: purse.room() }
+    }
+
+    /// Takes back what was lent to a holder that never heard of it.
+    pub fn take_back(&mut self, account: &ClientAccountName, amount: Tokens) {
+        let purse = self.purses.entry(account.clone()).or_default();
+        purse.lent = purse.lent.less(amount);
+    }
+
+    /// Takes in room that another holder passed on.
+    pub fn borrow(&mut self, account: &ClientAccountName, amount: Tokens) {
+        self.purses.entry(account.clone()).or_default().borrowed += amount;
+    }
+
+    /// Room that this holder would like to have beside `bound` tokens that are asked for now.
+    pub fn wish(&self, account: &ClientAccountName, bound: Tokens, now: Instant) -> Tokens {
+        let purse = self.purses.get(account).copied().unwrap_or_default();
+        bound.max(purse.wanted) + use_in(&purse, LOAN_WINDOW, now)
+    }
+
     /// Tokens used, set aside and allowed of `account`.
     pub fn view(&self, account: &ClientAccountName) -> (Tokens, Tokens, Tokens) {
-        self.purses.get(account).map(|purse| (purse.used, purse.reserved, purse.ceiling)).unwrap_or_default()
+        let view = |purse: &Purse| (purse.used, purse.reserved, (purse.ceiling + purse.borrowed).less(purse.lent));
+        self.purses.get(account).map(view).unwrap_or_default()
     }
 
     /// Whether any request waits for a higher ceiling.
@@ -341,7 +397,11 @@
     let weights = u128::from(others.seen.0 + purse.used.0 + base * fleet).max(1);
     let shared = u128::from(unused.0 / PERCENT * policy.share) * weight / weights;
     let shared = Tokens(u64::try_from(shared).unwrap_or(u64::MAX));
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a rate is small and not negative")]
-    let window = Tokens((purse.demand.rate(now, RATE_HORIZON) * policy.window.as_secs_f64()) as u64);
-    shared.min(window.max(Tokens(shared.0 / 2)))
+    shared.min(use_in(purse, policy.window, now).max(Tokens(shared.0 / 2)))
+}
+
+/// Tokens that a holder uses in `span` at its present rate.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a rate is small and not negative")]
+fn use_in(purse: &Purse, span: Duration, now: Instant) -> Tokens {
+    Tokens((purse.demand.rate(now, RATE_HORIZON) * span.as_secs_f64()) as u64)
 }
--- a/crates/serving/src/borders.rs
+++ b/crates/serving/src/borders.rs
@@ -27,6 +27,8 @@
     Servers,
     /// Ceilings of the instances.
     Credit,
+    /// Where instances listen for each other.
+    Instances,
 }
 
 /// One record.
@@ -83,8 +85,13 @@
     /// Reads records from `from` on, waiting up to `wait` for the first.
     fn read(&self, topic: Topic, from: Offset, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>>;
 
-    /// Appends a record if the stream ends at `at`, and returns the new end.
-    fn append(&self, topic: Topic, at: Offset, record: KeyedRecord) -> BoxFuture<'_, Result<Offset, StoreError>>;
+    /// Appends a record, with `at` only if the stream ends there, and returns the new end.
+    fn append(
+        &self,
+        topic: Topic,
+        at: Option<Offset>,
+        record: KeyedRecord,
+    ) -> BoxFuture<'_, Result<Offset, StoreError>>;
 }
 
 /// Why a record cannot be used.
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -57,8 +57,18 @@
     CeilingsUnsure,
     /// Another instance wrote first.
     CeilingsMoved,
+    /// Room was lent to another instance, or refused to it.
+    CreditLent,
+    /// Room was borrowed from another instance, or refused by it.
+    CreditBorrowed,
     /// A request is suspected of crashing backend servers.
     Suspected,
+    /// Another instance was listed.
+    PeerListed,
+    /// A link to another instance opened.
+    PeerLinked,
+    /// A link to another instance ended.
+    PeerLost,
 }
 
 impl Event {
@@ -90,7 +100,12 @@
         Self::CeilingsWritten,
         Self::CeilingsUnsure,
         Self::CeilingsMoved,
+        Self::CreditLent,
+        Self::CreditBorrowed,
         Self::Suspected,
+        Self::PeerListed,
+        Self::PeerLinked,
+        Self::PeerLost,
     ];
 
     /// Stable code.
@@ -122,7 +137,12 @@
             Self::CeilingsWritten => "CP1400",
             Self::CeilingsUnsure => "CP1401",
             Self::CeilingsMoved => "CP1402",
+            Self::CreditLent => "CP1403",
+            Self::CreditBorrowed => "CP1404",
             Self::Suspected => "CP1500",
+            Self::PeerListed => "CP1600",
+            Self::PeerLinked => "CP1601",
+            Self::PeerLost => "CP1602",
         }
     }
 
@@ -138,7 +158,8 @@
             | Self::SendFailed
             | Self::StreamCut
             | Self::CeilingsUnsure
-            | Self::Suspected => Level::Warn,
+            | Self::Suspected
+            | Self::PeerLost => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -3,11 +3,12 @@
 //! One task renews the ceilings of all accounts with one conditional write; requests only touch memory, and wait for
 //! it when a ceiling is too low. See `docs/CREDIT.md`.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfootpick_core::ceilings::{CeilingPolicy, CreditBook, HolderRecord, Purses, ReserveOutcome};
+use coltsfootpick_core::ceilings::{CeilingPolicy, CreditBook, HolderRecord, Loan, Purses, ReserveOutcome};
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::units::{Offset, Tokens};
@@ -24,6 +25,7 @@
 use crate::events::Event;
 use crate::feed::read_newest;
 use crate::fleet_event;
+use crate::peers::{Lender, Peers};
 
 /// How often ceilings are looked at when no request waits for them.
 const RENEW_EVERY: Duration = Duration::from_millis(800);
@@ -46,6 +48,15 @@
 /// Time after its announcement in which a fresh holder hears of the others before it takes its share.
 const ANNOUNCE_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Time after which another peer is asked.
+const PEER_WAIT: Duration = Duration::from_millis(70);
+
+/// Peers asked for one request.
+const PEERS_ASKED: usize = 3;
+
+/// Time for which a peer that had too little room is not asked for the same account.
+const POOR_REST: Duration = Duration::from_millis(500);
+
 /// Reads and writes tried for one renewal.
 const TRIES_MAX: usize = 12;
 
@@ -86,6 +97,8 @@
     purses: Mutex<Purses>,
     book: Mutex<CreditBook>,
     policy: CeilingPolicy,
+    peers: Arc<Peers>,
+    poor: Mutex<BTreeMap<(Arc<str>, ClientAccountName), Instant>>,
     wanted: Notify,
     renewed: watch::Sender<u64>,
     reachable: AtomicBool,
@@ -102,6 +115,8 @@
     /// Keeper that writes under the name `holder`.
     pub fn new(board: Arc<Board>, log: Arc<dyn KeyedLog>, holder: Arc<str>, policy: CeilingPolicy) -> Arc<Self> {
         Arc::new(Self {
+            peers: Peers::new(Arc::clone(&holder)),
+            poor: Mutex::default(),
             board,
             log,
             purses: Mutex::new(Purses::new(holder, policy)),
@@ -124,6 +139,7 @@
         let until = until.min(Instant::now() + GRANT_WAIT);
         let mut renewed = self.renewed.subscribe();
         let mut waiting: Option<Waiting<'_>> = None;
+        let mut asked: Vec<Arc<str>> = Vec::new();
         loop {
             let outcome = self.purses.lock().reserve(account, bound, prepaid);
             match outcome {
@@ -132,18 +148,61 @@
                     return Ok(Charge { keeper, account: account.clone(), bound, used: Tokens::ZERO });
                 }
                 ReserveOutcome::Exhausted => return Err(self.refusal(Code::BudgetExhausted, account, bound)),
-                ReserveOutcome::Short if !self.reachable.load(Ordering::Relaxed) => {
-                    return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(STORE_BACKOFF));
-                }
                 ReserveOutcome::Short => {}
             }
             waiting.get_or_insert_with(|| Waiting::new(self, account, bound));
             self.wanted.notify_one();
-            let changed = tokio::time::timeout_at(until, renewed.changed()).await;
-            if !matches!(changed, Ok(Ok(()))) {
+            let is_asked = self.ask_next(account, bound, &mut asked);
+            let is_reachable = self.reachable.load(Ordering::Relaxed);
+            if !is_asked && !is_reachable {
                 return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(STORE_BACKOFF));
             }
+            let wait = if is_asked { until.min(Instant::now() + PEER_WAIT) } else { until };
+            let changed = tokio::time::timeout_at(wait, renewed.changed()).await;
+            if changed.is_err() && Instant::now() >= until {
+                return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(STORE_BACKOFF));
+            }
+        }
+    }
+
+    /// Asks the peer that is believed to have the most room, where the store cannot help; false when none is left.
+    fn ask_next(self: &Arc<Self>, account: &ClientAccountName, bound: Tokens, asked: &mut Vec<Arc<str>>) -> bool {
+        if asked.len() >= PEERS_ASKED || !self.needs_peers(account, bound) {
+            return false;
         }
+        let (now, awake) = (Instant::now(), self.peers.awake());
+        let holder = Arc::clone(self.purses.lock().holder());
+        let rooms = self.book.lock().rooms(&holder, account);
+        let poor = self.poor.lock();
+        let is_poor =
+            |peer: &Arc<str>| poor.get(&(Arc::clone(peer), account.clone())).is_some_and(|until| *until > now);
+        let next = rooms.into_iter().map(|(peer, _)| peer);
+        let next = next.filter(|peer| awake.contains(peer) && !asked.contains(peer) && !is_poor(peer)).next();
+        drop(poor);
+        let Some(peer) = next else { return false };
+        let wish = self.purses.lock().wish(account, bound, self.board.clock.now());
+        let lender: Arc<dyn Lender> = Arc::<Self>::clone(self);
+        self.peers.ask(&lender, &peer, account, bound, wish);
+        asked.push(peer);
+        true
+    }
+
+    /// Whether a higher ceiling cannot come from the store: it does not answer, or others hold what is left.
+    fn needs_peers(&self, account: &ClientAccountName, bound: Tokens) -> bool {
+        if !self.reachable.load(Ordering::Relaxed) {
+            return true;
+        }
+        let Some(table) = self.board.table() else { return false };
+        let prepaid = table.account(account).and_then(|account| account.prepaid).unwrap_or_default();
+        let holder = Arc::clone(self.purses.lock().holder());
+        let others = self.book.lock().others(&holder, account, self.board.clock.now(), self.policy.silence);
+        let (used, reserved, _) = self.purses.lock().view(account);
+        prepaid.less(others.ceiling) < used + reserved + bound
+    }
+
+    /// Peers of this instance.
+    pub const fn peers(&self) -> &Arc<Peers> {
+        &self.peers
     }
 
     fn refusal(&self, code: Code, account: &ClientAccountName, bound: Tokens) -> Refusal {
@@ -257,7 +316,7 @@
         let holder = Arc::clone(self.purses.lock().holder());
         let value = Some(HolderMessage::from(record).encode_to_vec().into());
         let keyed = KeyedRecord { key: Arc::clone(&holder), value };
-        match self.log.append(Topic::Credit, at, keyed).await {
+        match self.log.append(Topic::Credit, Some(at), keyed).await {
             Ok(end) => {
                 let mut book = self.book.lock();
                 book.apply(&holder, record.clone(), self.board.clock.now());
@@ -305,6 +364,29 @@
     }
 }
 
+impl Lender for CreditKeeper {
+    fn lend(&self, account: &ClientAccountName, least: Tokens, most: Tokens) -> Loan {
+        self.purses.lock().lend(account, least, most)
+    }
+
+    fn take_back(&self, account: &ClientAccountName, amount: Tokens) {
+        self.purses.lock().take_back(account, amount);
+    }
+
+    fn borrow(&self, peer: &str, account: &ClientAccountName, loan: Loan) {
+        fleet_event!(Event::CreditBorrowed, "peer={peer} account={account} amount={} left={}", loan.amount, loan.left);
+        self.purses.lock().borrow(account, loan.amount);
+        if loan.amount.is_zero() {
+            self.poor.lock().insert((Arc::from(peer), account.clone()), Instant::now() + POOR_REST);
+        }
+        self.renewed.send_modify(|count| *count += 1);
+    }
+
+    fn note_silent(&self, _peer: &str) {
+        self.renewed.send_modify(|count| *count += 1);
+    }
+}
+
 /// Request that waits for a higher ceiling.
 struct Waiting<'a> {
     keeper: &'a CreditKeeper,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod drain;
 pub mod exchange;
 pub mod keeper;
+pub mod peers;
 
 pub mod document;
 pub mod feed;
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -26,6 +26,8 @@
     pub ready: SocketAddr,
     /// Where metrics alone are asked for, if anywhere.
     pub metrics: Option<SocketAddr>,
+    /// Where other instances connect.
+    pub peers: SocketAddr,
     /// The store.
     pub store: SocketAddr,
     /// Time from a stop signal to the end.
@@ -99,6 +101,7 @@
                 places,
                 callers: address(&mut listen, "callers")?,
                 ready: address(&mut listen, "ready")?,
+                peers: address(&mut listen, "peers")?,
                 metrics: listen.parsed("metrics", "IP:PORT"),
                 store: address(&mut store, "address")?,
                 grace: Duration::from_secs(instance.number("grace-s", 1..=3_600, 8)),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod convert;
 pub mod envelope;
 pub mod frame;
+pub mod loans;
 pub mod messages;
 pub mod operators;
 pub mod peer;
