--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -206,8 +206,18 @@
     }
 
     fn refusal(&self, code: Code, account: &ClientAccountName, bound: Tokens) -> Refusal {
-        let (used, reserved, ceiling) = self.purses.lock().view(account);
-        let detail = format!("account={account} bound={bound} used={used} reserved={reserved} ceiling={ceiling}");
+        let holder = Arc::clone(self.purses.lock().holder());
+        let others = self.book.lock().others(&holder, account, self.board.clock.now(), self.policy.silence);
+        let (used, reserved, allowed) = self.purses.lock().view(account);
+        let table = self.board.table();
+        let prepaid = table.as_ref().and_then(|table| table.account(account)?.prepaid).unwrap_or_default();
+        let detail = format!(
+            "account={account} bound={bound} used={used} reserved={reserved} allowed={allowed} prepaid={prepaid} \
+             others-ceiling={} others-seen={} store-reached={}",
+            others.ceiling,
+            others.seen,
+            self.reachable.load(Ordering::Relaxed)
+        );
         Refusal::not_run(code, detail)
     }
 
