Credit: a reserve for the time without the store, taken back from runs that died before they could use it

Shares were also weighed against dead runs, so that a fresh run got next to nothing and renewed all the time. Change: a record holds a ceiling and a reserve; the reserve is used only when no record was written for 3 s. A run whose predecessor's last record is younger than that by at least three clocks takes the reserve back. Shares are weighed among living runs.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -20,8 +20,38 @@
     pub ceiling: Tokens,
     /// Tokens that it had used when it wrote this.
     pub settled: Tokens,
+    /// Tokens above the ceiling that it may use once it could not write for [`ISOLATION`].
+    pub reserve: Tokens,
 }
 
+impl Holding {
+    /// Everything that the holder may ever use by this record.
+    pub fn bound(&self) -> Tokens {
+        self.ceiling + self.reserve
+    }
+}
+
+/// Time without a write after which a holder uses its reserve.
+///
+/// A run that was killed is replaced within some 1.5 s and writes every [`WRITE_EVERY`]; the rest covers the reading
+/// of clocks.
+pub const ISOLATION: Duration = Duration::from_millis(3_000);
+
+/// Time between two records of a holder in a fleet of a few instances.
+pub const WRITE_EVERY: Duration = Duration::from_millis(450);
+
+/// Part of [`ISOLATION`] that is kept for the rounding and drift of clocks.
+const CLOCK_MARGIN: Duration = Duration::from_millis(300);
+
+/// Clocks that must agree before a reserve is taken back; one of three that jumped back is outvoted.
+const CLOCKS_MIN: usize = 3;
+
+/// Time after which a holder's record no longer tells what its clock shows.
+const WITNESS_AGE: Duration = Duration::from_millis(1_500);
+
+/// Other holders whose clocks a record names.
+const WITNESSES_MAX: usize = 8;
+
 /// Newest record of one holder; it replaces the one before.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HolderRecord {
@@ -31,6 +61,49 @@
     pub document: u64,
     /// Whether the holder ended and uses nothing more.
     pub closed: bool,
+    /// Time of day at the holder when it wrote this, in milliseconds since 1970.
+    pub stamp: u64,
+    /// Stamps of other instances' records that were written before this one, by instance.
+    pub witnesses: BTreeMap<Arc<str>, u64>,
+}
+
+impl HolderRecord {
+    /// Longest time that can have passed since this was written, told by several clocks.
+    ///
+    /// `clocks` holds the present time of day by instance. Clocks may jump, so the greatest of at least
+    /// [`CLOCKS_MIN`] measures counts; `None` when fewer are known.
+    pub fn age_at_most(&self, own: &str, clocks: &BTreeMap<Arc<str>, u64>) -> Option<Duration> {
+        let stamps = self.witnesses.iter().map(|(name, stamp)| (&**name, *stamp)).chain([(own, self.stamp)]);
+        let ages: Vec<u64> = stamps.filter_map(|(name, stamp)| Some(clocks.get(name)?.saturating_sub(stamp))).collect();
+        let oldest = ages.iter().max().filter(|_| ages.len() >= CLOCKS_MIN);
+        oldest.map(|age| Duration::from_millis(*age))
+    }
+
+    /// Whether a holder that is known to be dead cannot have used its reserve, by the age of its last record at its
+    /// death.
+    pub fn has_reserve_unused(&self, own: &str, clocks: &BTreeMap<Arc<str>, u64>) -> bool {
+        self.age_at_most(own, clocks).is_some_and(|age| age + CLOCK_MARGIN < ISOLATION)
+    }
+
+    /// Whether no clock can prove the reserve unused, since this record was too old when its holder's successor started.
+    pub fn is_stale(&self, own: &str, clocks: &BTreeMap<Arc<str>, u64>) -> bool {
+        let age = clocks.get(own).map(|now| Duration::from_millis(now.saturating_sub(self.stamp)));
+        age.is_some_and(|age| age + CLOCK_MARGIN >= ISOLATION)
+    }
+
+    /// Record that ends a dead holder; its reserve goes back when it cannot have been used.
+    pub fn ended(&self, is_reserve_unused: bool) -> Self {
+        let mut ended = Self { closed: true, ..self.clone() };
+        for holding in ended.holdings.values_mut().filter(|_| is_reserve_unused) {
+            holding.reserve = Tokens::ZERO;
+        }
+        ended
+    }
+}
+
+/// Name of the instance in the name of one of its runs, `INSTANCE/RUN`.
+pub fn instance_of(holder: &str) -> &str {
+    holder.rsplit_once('/').map_or(holder, |(instance, _)| instance)
 }
 
 /// Newest record of every holder, as read from the log.
@@ -49,12 +122,14 @@
 /// Sums over all other holders of one account.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Others {
-    /// Sum of their ceilings.
+    /// Sum of their ceilings and reserves.
     pub ceiling: Tokens,
     /// Sum of what they are known to have used; for holders that ended or fell silent, their ceilings.
     pub settled: Tokens,
     /// Sum of what they were seen to use, without what is in doubt.
     pub seen: Tokens,
+    /// The part of `seen` that holders used that are still heard of.
+    pub alive: Tokens,
 }
 
 impl CreditBook {
@@ -84,9 +159,10 @@
         for (_, heard) in self.holders.iter().filter(|(name, _)| &***name != own) {
             let Some(holding) = heard.record.holdings.get(account) else { continue };
             let is_over = heard.record.closed || now.since(heard.at) > silence;
-            sums.ceiling += holding.ceiling;
-            sums.settled += if is_over { holding.ceiling } else { holding.settled };
+            sums.ceiling += holding.bound();
+            sums.settled += if is_over { holding.bound() } else { holding.settled };
             sums.seen += holding.settled;
+            sums.alive += if is_over { Tokens::ZERO } else { holding.settled };
         }
         sums
     }
@@ -96,7 +172,7 @@
         let others = self.holders.iter().filter(|(name, heard)| &***name != own && !heard.record.closed);
         let room = |heard: &Heard| {
             let holding = heard.record.holdings.get(account).copied().unwrap_or_default();
-            holding.ceiling.less(holding.settled)
+            holding.bound().less(holding.settled)
         };
         let mut rooms: Vec<_> = others.map(|(name, heard)| (Arc::clone(name), room(heard))).collect();
         rooms.sort_by_key(|(name, room)| (std::cmp::Reverse(*room), Arc::clone(name)));
@@ -109,6 +185,26 @@
         others.filter(|(_, heard)| !heard.record.closed && now.since(heard.at) <= silence).count()
     }
 
+    /// Whether no holder has any ceiling yet, as when the whole fleet starts for the first time.
+    pub fn is_young(&self) -> bool {
+        self.holders.values().all(|heard| heard.record.holdings.is_empty())
+    }
+
+    /// Dead runs of the instance that `own` is a run of, with their newest records.
+    pub fn predecessors(&self, own: &str) -> Vec<(Arc<str>, HolderRecord)> {
+        let is_dead = |name: &Arc<str>| &**name != own && instance_of(name) == instance_of(own);
+        let dead = self.holders.iter().filter(|(name, heard)| is_dead(name) && !heard.record.closed);
+        dead.map(|(name, heard)| (Arc::clone(name), heard.record.clone())).collect()
+    }
+
+    /// Stamps of the other instances' newest records, as far as they were heard of lately.
+    fn witnesses(&self, own: &str, now: Instant) -> BTreeMap<Arc<str>, u64> {
+        let is_fresh = |heard: &Heard| !heard.record.closed && now.since(heard.at) <= WITNESS_AGE;
+        let others =
+            self.holders.iter().filter(|(name, heard)| instance_of(name) != instance_of(own) && is_fresh(heard));
+        others.map(|(name, heard)| (Arc::from(instance_of(name)), heard.record.stamp)).take(WITNESSES_MAX).collect()
+    }
+
     /// Newest version of the document that any holder went by.
     pub fn newest_document(&self) -> u64 {
         self.holders.values().map(|heard| heard.record.document).max().unwrap_or_default()
@@ -144,11 +240,18 @@
 /// Span over which the rate of use is taken, in units of [`Demand`]'s horizon.
 const RATE_HORIZON: Duration = Duration::from_secs(5);
 
+/// Time of own use that a ceiling covers, beside the reserve: an outage up to [`ISOLATION`] and a write's delay.
+const BASE_WINDOW: Duration = Duration::from_millis(3_500);
+
+/// Least part of the aimed room that lies below the ceiling, as a divisor; it covers uneven use.
+const BASE_PART: u64 = 4;
+
 /// Time of own use that is borrowed at once, so that loans stay rare.
 const LOAN_WINDOW: Duration = Duration::from_secs(2);
 
-/// Part of its share that a holder keeps before it has used anything, in hundredths of the account.
-const BASE_SHARE: u64 = 1;
+/// Use that a holder is credited with when shares are weighed, in hundredths of the account, so that a fresh one gets
+/// its part before it has used anything.
+const BASE_SHARE: u64 = 2;
 
 /// Result of a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -164,6 +267,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Purse {
     ceiling: Tokens,
+    reserve: Tokens,
     used: Tokens,
     reserved: Tokens,
     borrowed: Tokens,
@@ -179,8 +283,9 @@
         (self.used + self.reserved + self.lent).less(self.borrowed)
     }
 
-    fn room(&self) -> Tokens {
-        (self.ceiling + self.borrowed).less(self.used + self.reserved + self.lent)
+    fn room(&self, isolated: bool) -> Tokens {
+        let reserve = if isolated { self.reserve } else { Tokens::ZERO };
+        (self.ceiling + reserve + self.borrowed).less(self.used + self.reserved + self.lent)
     }
 }
 
@@ -200,12 +305,14 @@
     policy: CeilingPolicy,
     purses: BTreeMap<ClientAccountName, Purse>,
     pending: Vec<(Offset, HolderRecord)>,
+    stamped: Option<Instant>,
+    stamped_before: Option<Instant>,
 }
 
 impl Purses {
     /// Empty purses of a fresh holder.
     pub const fn new(holder: Arc<str>, policy: CeilingPolicy) -> Self {
-        Self { holder, policy, purses: BTreeMap::new(), pending: Vec::new() }
+        Self { holder, policy, purses: BTreeMap::new(), pending: Vec::new(), stamped: None, stamped_before: None }
     }
 
     /// Name under which the holder writes.
@@ -213,13 +320,25 @@
         &self.holder
     }
 
+    /// Whether no record can have been written for [`ISOLATION`], so that reserves may be used.
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        self.stamped.is_some_and(|at| now.since(at) > ISOLATION)
+    }
+
     /// Sets `bound` tokens aside.
-    pub fn reserve(&mut self, account: &ClientAccountName, bound: Tokens, prepaid: Tokens) -> ReserveOutcome {
+    pub fn reserve(
+        &mut self,
+        account: &ClientAccountName,
+        bound: Tokens,
+        prepaid: Tokens,
+        now: Instant,
+    ) -> ReserveOutcome {
+        let isolated = self.is_isolated(now);
         let purse = self.purses.entry(account.clone()).or_default();
         if purse.seen + purse.used + bound > prepaid {
             return ReserveOutcome::Exhausted;
         }
-        if purse.room() < bound {
+        if purse.room(isolated) < bound {
             return ReserveOutcome::Short;
         }
         purse.reserved += bound;
@@ -244,12 +363,13 @@
     /// Passes room to another holder: at least `least`, up to `most` or half of what there is.
     ///
     /// The giver's written ceiling covers what it lent, so the sum that the log knows does not change.
-    pub fn lend(&mut self, account: &ClientAccountName, least: Tokens, most: Tokens) -> Loan {
+    pub fn lend(&mut self, account: &ClientAccountName, least: Tokens, most: Tokens, now: Instant) -> Loan {
+        let isolated = self.is_isolated(now);
         let purse = self.purses.entry(account.clone()).or_default();
-        let room = purse.room();
+        let room = purse.room(isolated);
         let amount = if room < least { Tokens::ZERO } else { most.min(Tokens(room.0 / 2)).max(least) };
         purse.lent += amount;
-        Loan { amount, left: purse.room() }
+        Loan { amount, left: purse.room(isolated) }
     }
 
     /// Takes back what was lent to a holder that never heard of it.
@@ -282,45 +402,51 @@
 
     /// Next record to write, when one is due; `accounts` are those that are limited, with what they paid for.
     ///
-    /// Lowered ceilings bind from this moment on, raised ones once [`Self::confirm`] tells that they are written.
+    /// Lowered ceilings bind from this moment on, raised ones once [`Self::confirm`] tells that they are written. The
+    /// reserve is out of use from this moment on too, since the record's stamp may reach the log.
     pub fn plan<'a>(
         &mut self,
         book: &CreditBook,
         document: u64,
         accounts: impl IntoIterator<Item = (&'a ClientAccountName, Tokens)>,
         now: Instant,
+        stamp: u64,
         force: bool,
     ) -> Option<HolderRecord> {
         let mut is_due = force;
-        let mut record = HolderRecord { document, ..HolderRecord::default() };
+        let witnesses = book.witnesses(&self.holder, now);
+        let mut record = HolderRecord { document, stamp, witnesses, ..HolderRecord::default() };
         let fleet = book.alive(&self.holder, now, self.policy.silence) as u64 + 1;
         for (account, prepaid) in accounts {
             let others = book.others(&self.holder, account, now, self.policy.silence);
             let purse = self.purses.entry(account.clone()).or_default();
             purse.seen = others.seen;
-            let aim = aimed_room(&self.policy, purse, others, prepaid, fleet, now).max(purse.wanted);
+            let total = aimed_room(&self.policy, purse, others, prepaid, fleet, now).max(purse.wanted);
+            let aim = total.min(use_in(purse, BASE_WINDOW, now).max(Tokens(total.0 / BASE_PART))).max(purse.wanted);
             let most = prepaid.less(others.ceiling).max(purse.taken());
             // A holder behind the others' document does not know what was paid for and must not raise.
             let most = if document < book.newest_document() { most.min(purse.ceiling) } else { most };
             let ceiling = (purse.taken() + aim).min(most);
-            let room = purse.room().0;
+            let reserve = total.less(aim).min(most.less(ceiling));
+            let room = purse.room(false).0;
             let raises = ceiling > purse.ceiling && (room < aim.0 / PERCENT * RAISE_BELOW || !purse.wanted.is_zero());
             let lowers = purse.ceiling > most || room > aim.0 / PERCENT * LOWER_ABOVE + PERCENT;
             is_due |= raises || lowers;
-            record.holdings.insert(account.clone(), Holding { ceiling, settled: purse.used });
+            record.holdings.insert(account.clone(), Holding { ceiling, settled: purse.used, reserve });
         }
         if !is_due {
             return None;
         }
         self.lower(&record);
+        self.stamped_before = self.stamped.replace(now);
         Some(record)
     }
 
     /// Last record of a holder that ends: ceilings fall to what was used.
     pub fn close(&mut self, document: u64) -> HolderRecord {
-        let spent = |purse: &Purse| Holding { ceiling: purse.taken(), settled: purse.used };
+        let spent = |purse: &Purse| Holding { ceiling: purse.taken(), settled: purse.used, reserve: Tokens::ZERO };
         let holdings = self.purses.iter().map(|(account, purse)| (account.clone(), spent(purse))).collect();
-        let record = HolderRecord { holdings, document, closed: true };
+        let record = HolderRecord { holdings, document, closed: true, ..HolderRecord::default() };
         self.lower(&record);
         record
     }
@@ -349,8 +475,14 @@
         self.restrain();
     }
 
+    /// Time of the newest record that may have been written.
+    pub const fn stamped(&self) -> Option<Instant> {
+        self.stamped
+    }
+
     /// Returns to the ceilings of `newest`, this holder's record, after a write that did not take effect.
     pub fn restore(&mut self, newest: Option<&HolderRecord>) {
+        self.stamped = self.stamped_before;
         if let Some(record) = newest {
             self.set_ceilings(record);
         }
@@ -364,14 +496,16 @@
 
     fn set_ceilings(&mut self, record: &HolderRecord) {
         for (account, purse) in &mut self.purses {
-            purse.ceiling = record.holdings.get(account).map_or(Tokens::ZERO, |holding| holding.ceiling);
+            let holding = record.holdings.get(account).copied().unwrap_or_default();
+            (purse.ceiling, purse.reserve) = (holding.ceiling, holding.reserve);
         }
     }
 
     fn lower(&mut self, record: &HolderRecord) {
         for (account, purse) in &mut self.purses {
-            let ceiling = record.holdings.get(account).map_or(Tokens::ZERO, |holding| holding.ceiling);
-            purse.ceiling = purse.ceiling.min(ceiling);
+            let holding = record.holdings.get(account).copied().unwrap_or_default();
+            purse.ceiling = purse.ceiling.min(holding.ceiling);
+            purse.reserve = purse.reserve.min(holding.reserve);
         }
     }
 
@@ -394,7 +528,7 @@
     let unused = prepaid.less(others.settled + purse.used);
     let base = prepaid.0 / PERCENT * BASE_SHARE;
     let weight = u128::from(purse.used.0 + base);
-    let weights = u128::from(others.seen.0 + purse.used.0 + base * fleet).max(1);
+    let weights = u128::from(others.alive.0 + purse.used.0 + base * fleet).max(1);
     let shared = u128::from(unused.0 / PERCENT * policy.share) * weight / weights;
     let shared = Tokens(u64::try_from(shared).unwrap_or(u64::MAX));
     shared.min(use_in(purse, policy.window, now).max(Tokens(shared.0 / 2)))
--- a/crates/serving/src/board.rs
+++ b/crates/serving/src/board.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::quarantine::Quarantine;
@@ -37,6 +37,12 @@
     pub fn now(&self) -> Instant {
         Instant(self.origin.elapsed() + CLOCK_START)
     }
+
+    /// Time of day in milliseconds since 1970; it may jump.
+    pub fn wall(&self) -> u64 {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+        wall.map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
 }
 
 /// Who an instance is and how much of what all share it may take.
--- a/crates/serving/src/borders.rs
+++ b/crates/serving/src/borders.rs
@@ -85,12 +85,12 @@
     /// Reads records from `from` on, waiting up to `wait` for the first.
     fn read(&self, topic: Topic, from: Offset, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>>;
 
-    /// Appends a record, with `at` only if the stream ends there, and returns the new end.
+    /// Appends all records or none, with `at` only if the stream ends there, and returns the new end.
     fn append(
         &self,
         topic: Topic,
         at: Option<Offset>,
-        record: KeyedRecord,
+        records: Vec<KeyedRecord>,
     ) -> BoxFuture<'_, Result<Offset, StoreError>>;
 }
 
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -61,6 +61,8 @@
     CreditLent,
     /// Room was borrowed from another instance, or refused by it.
     CreditBorrowed,
+    /// The credit of this instance's earlier run was brought to an end.
+    RunEnded,
     /// A request is suspected of crashing backend servers.
     Suspected,
     /// Another instance was listed.
@@ -102,6 +104,7 @@
         Self::CeilingsMoved,
         Self::CreditLent,
         Self::CreditBorrowed,
+        Self::RunEnded,
         Self::Suspected,
         Self::PeerListed,
         Self::PeerLinked,
@@ -139,6 +142,7 @@
             Self::CeilingsMoved => "CP1402",
             Self::CreditLent => "CP1403",
             Self::CreditBorrowed => "CP1404",
+            Self::RunEnded => "CP1405",
             Self::Suspected => "CP1500",
             Self::PeerListed => "CP1600",
             Self::PeerLinked => "CP1601",
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -8,7 +8,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfootpick_core::ceilings::{CeilingPolicy, CreditBook, HolderRecord, Loan, Purses, ReserveOutcome};
+use coltsfootpick_core::ceilings::{
+    CeilingPolicy, CreditBook, HolderRecord, Loan, Purses, ReserveOutcome, WRITE_EVERY, instance_of,
+};
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::units::{Offset, Tokens};
@@ -27,8 +29,9 @@
 use crate::fleet_event;
 use crate::peers::{Lender, Peers};
 
-/// How often ceilings are looked at when no request waits for them.
-const RENEW_EVERY: Duration = Duration::from_millis(800);
+/// Time between two records of one instance grows by this for each instance of a large fleet, so that all of them
+/// write some thirty times a second.
+const WRITE_STEP: Duration = Duration::from_millis(30);
 
 /// Least time between two renewals, so that requests that wait together share one.
 const RENEW_GAP: Duration = Duration::from_millis(40);
@@ -57,6 +60,15 @@
 /// Time for which a peer that had too little room is not asked for the same account.
 const POOR_REST: Duration = Duration::from_millis(500);
 
+/// Longest wait for other instances' clocks before the reserve of a run that died is given up.
+const CLOCKS_WAIT: Duration = Duration::from_millis(1_800);
+
+/// How often clocks are asked for.
+const CLOCKS_EVERY: Duration = Duration::from_millis(150);
+
+/// Peers whose clocks are asked for.
+const CLOCKS_ASKED: usize = 8;
+
 /// Reads and writes tried for one renewal.
 const TRIES_MAX: usize = 12;
 
@@ -99,6 +111,8 @@
     policy: CeilingPolicy,
     peers: Arc<Peers>,
     poor: Mutex<BTreeMap<(Arc<str>, ClientAccountName), Instant>>,
+    started: Instant,
+    clocks: Mutex<BTreeMap<Arc<str>, u64>>,
     wanted: Notify,
     renewed: watch::Sender<u64>,
     reachable: AtomicBool,
@@ -117,6 +131,8 @@
         Arc::new(Self {
             peers: Peers::new(Arc::clone(&holder)),
             poor: Mutex::default(),
+            started: Instant::now(),
+            clocks: Mutex::default(),
             board,
             log,
             purses: Mutex::new(Purses::new(holder, policy)),
@@ -141,7 +157,7 @@
         let mut waiting: Option<Waiting<'_>> = None;
         let mut asked: Vec<Arc<str>> = Vec::new();
         loop {
-            let outcome = self.purses.lock().reserve(account, bound, prepaid);
+            let outcome = self.purses.lock().reserve(account, bound, prepaid, self.board.clock.now());
             match outcome {
                 ReserveOutcome::Reserved => {
                     let keeper = Arc::clone(self);
@@ -223,15 +239,25 @@
 
     /// Renews ceilings until `stop`.
     pub async fn run(self: Arc<Self>, stop: CancellationToken) {
+        tokio::select! {
+            () = self.renew_always() => {}
+            () = stop.cancelled() => {}
+        }
+    }
+
+    async fn renew_always(self: &Arc<Self>) {
         let mut versions = self.board.versions();
-        let mut is_announced = false;
-        while !stop.is_cancelled() {
-            let pause = match self.renew(!is_announced).await {
-                Renewal::Done if !is_announced && self.board.table().is_some() => {
-                    is_announced = true;
-                    ANNOUNCE_WAIT
-                }
-                Renewal::Done => RENEW_EVERY,
+        while self.board.table().is_none() && versions.changed().await.is_ok() {}
+        while !matches!(self.renew(true).await, Renewal::Done) {
+            tokio::time::sleep(LOST_PAUSE).await;
+        }
+        if self.book.lock().is_young() {
+            tokio::time::sleep(ANNOUNCE_WAIT).await;
+        }
+        loop {
+            let pause = match self.renew(false).await {
+                Renewal::Done if self.has_dead_runs() => CLOCKS_EVERY,
+                Renewal::Done => self.write_every(),
                 Renewal::Moved => RENEW_GAP,
                 Renewal::Lost => LOST_PAUSE,
             };
@@ -240,11 +266,63 @@
                 () = tokio::time::sleep(pause) => {}
                 () = self.wanted.notified() => {}
                 changed = versions.changed() => if changed.is_err() { return },
-                () = stop.cancelled() => return,
             }
         }
     }
 
+    fn has_dead_runs(&self) -> bool {
+        let holder = Arc::clone(self.purses.lock().holder());
+        !self.book.lock().predecessors(&holder).is_empty()
+    }
+
+    /// Time between two records when nothing else asks for one.
+    fn write_every(&self) -> Duration {
+        WRITE_EVERY.max(WRITE_STEP * u32::try_from(self.board.fleet()).unwrap_or(u32::MAX))
+    }
+
+    /// Records that end this instance's dead runs, and take back reserves that they cannot have used.
+    ///
+    /// The platform starts a run only once the one before has ended, so these runs use nothing any more. A run whose
+    /// proof needs clocks that are not known yet is left for the next renewal.
+    fn ended_runs(self: &Arc<Self>) -> Vec<(Arc<str>, HolderRecord)> {
+        let holder = Arc::clone(self.purses.lock().holder());
+        let own = instance_of(&holder);
+        let dead = self.book.lock().predecessors(&holder);
+        let clocks = self.clocks_at_start();
+        let is_late = self.started.elapsed() > CLOCKS_WAIT;
+        let mut ended = Vec::with_capacity(dead.len());
+        for (name, record) in dead {
+            let is_unused = record.has_reserve_unused(own, &clocks);
+            if is_unused || is_late || record.is_stale(own, &clocks) {
+                let age = record.age_at_most(own, &clocks);
+                fleet_event!(Event::RunEnded, "run={name} age={age:?} clocks={} unused={is_unused}", clocks.len());
+                ended.push((name, record.ended(is_unused)));
+            } else {
+                self.ask_clocks();
+            }
+        }
+        ended
+    }
+
+    /// Times of day at this instance and its peers when this run started.
+    fn clocks_at_start(&self) -> BTreeMap<Arc<str>, u64> {
+        let since = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut clocks = self.clocks.lock().clone();
+        let own = self.board.clock.wall().saturating_sub(since);
+        clocks.insert(Arc::clone(&self.board.identity.name), own);
+        clocks
+    }
+
+    fn ask_clocks(self: &Arc<Self>) {
+        let lender: Arc<dyn Lender> = Arc::<Self>::clone(self);
+        let nobody = ClientAccountName::from("");
+        let known = self.clocks.lock().clone();
+        let unknown = self.peers.awake().into_iter().filter(|peer| !known.contains_key(instance_of(peer)));
+        for peer in unknown.take(CLOCKS_ASKED) {
+            self.peers.ask(&lender, &peer, &nobody, Tokens::ZERO, Tokens::ZERO);
+        }
+    }
+
     /// Gives back everything above what was used; true once the store has it.
     pub async fn close(&self) -> bool {
         let document = self.board.table().map_or(0, |table| table.version());
@@ -253,7 +331,8 @@
             if self.read().await.is_err() {
                 return false;
             }
-            match self.write(&record).await {
+            let holder = Arc::clone(self.purses.lock().holder());
+            match self.write(vec![(holder, record.clone())]).await {
                 Renewal::Done => return true,
                 Renewal::Lost => return false,
                 Renewal::Moved => {}
@@ -263,18 +342,21 @@
     }
 
     /// Brings the ceilings up to date; an announcement holds no ceilings and only tells that the holder lives.
-    async fn renew(&self, announces: bool) -> Renewal {
+    async fn renew(self: &Arc<Self>, announces: bool) -> Renewal {
         for _ in 0..TRIES_MAX {
             if let Err(error) = self.read().await {
                 self.note_reach(false, &error.to_string());
                 return Renewal::Lost;
             }
             self.note_reach(true, "");
-            let Some(record) = self.plan(announces) else {
+            let mut records = self.ended_runs();
+            let holder = Arc::clone(self.purses.lock().holder());
+            records.extend(self.plan(announces).map(|record| (holder, record)));
+            if records.is_empty() {
                 self.renewed.send_modify(|count| *count += 1);
                 return Renewal::Done;
-            };
-            match self.write(&record).await {
+            }
+            match self.write(records).await {
                 Renewal::Moved => {
                     let pause = rand::rng().random_range(1..=MOVED_PAUSE_MS);
                     tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -288,13 +370,15 @@
     fn plan(&self, announces: bool) -> Option<HolderRecord> {
         let (now, table) = (self.board.clock.now(), self.board.table());
         let version = table.as_ref().map_or(0, |table| table.version());
+        let stamp = self.board.clock.wall();
         let (book, mut purses) = (self.book.lock(), self.purses.lock());
         if announces {
-            return purses.plan(&book, version, [], now, true);
+            return purses.plan(&book, version, [], now, stamp, true);
         }
         let limited = table.iter().flat_map(|table| table.accounts());
         let limited = limited.filter_map(|account| account.prepaid.map(|prepaid| (&account.name, prepaid)));
-        purses.plan(&book, version, limited, now, false)
+        let is_old = purses.stamped().is_none_or(|at| now.since(at) >= self.write_every());
+        purses.plan(&book, version, limited, now, stamp, is_old)
     }
 
     /// Reads every record that was written since.
@@ -321,19 +405,26 @@
         Ok(())
     }
 
-    async fn write(&self, record: &HolderRecord) -> Renewal {
+    /// Writes records of this run, or of runs before it, where the log was read to.
+    async fn write(&self, records: Vec<(Arc<str>, HolderRecord)>) -> Renewal {
         let at = self.book.lock().next();
         let holder = Arc::clone(self.purses.lock().holder());
-        let value = Some(HolderMessage::from(record).encode_to_vec().into());
-        let keyed = KeyedRecord { key: Arc::clone(&holder), value };
-        match self.log.append(Topic::Credit, Some(at), keyed).await {
+        let keyed = records.iter().map(|(name, record)| {
+            let value = Some(HolderMessage::from(record).encode_to_vec().into());
+            KeyedRecord { key: Arc::clone(name), value }
+        });
+        match self.log.append(Topic::Credit, Some(at), keyed.collect()).await {
             Ok(end) => {
-                let mut book = self.book.lock();
-                book.apply(&holder, record.clone(), self.board.clock.now());
-                book.advance(end);
-                self.purses.lock().confirm(record);
+                let now = self.board.clock.now();
+                for (name, record) in &records {
+                    self.book.lock().apply(name, record.clone(), now);
+                    if *name == holder {
+                        self.purses.lock().confirm(record);
+                    }
+                    fleet_event!(Event::CeilingsWritten, "run={name} {}", describe(record, end));
+                }
+                self.book.lock().advance(end);
                 self.renewed.send_modify(|count| *count += 1);
-                fleet_event!(Event::CeilingsWritten, "{}", describe(record, end));
                 Renewal::Done
             }
             Err(StoreError::Moved(end)) => {
@@ -343,7 +434,9 @@
             }
             Err(StoreError::Unknown(error)) => {
                 fleet_event!(Event::CeilingsUnsure, "at={at} error={error:?}");
-                self.purses.lock().note_unknown(at, record.clone());
+                for (_, record) in records.into_iter().filter(|(name, _)| *name == holder) {
+                    self.purses.lock().note_unknown(at, record);
+                }
                 self.note_reach(false, &error);
                 Renewal::Lost
             }
@@ -376,7 +469,7 @@
 
 impl Lender for CreditKeeper {
     fn lend(&self, account: &ClientAccountName, least: Tokens, most: Tokens) -> Loan {
-        self.purses.lock().lend(account, least, most)
+        self.purses.lock().lend(account, least, most, self.board.clock.now())
     }
 
     fn take_back(&self, account: &ClientAccountName, amount: Tokens) {
@@ -392,6 +485,15 @@
         self.renewed.send_modify(|count| *count += 1);
     }
 
+    fn clock(&self) -> u64 {
+        self.board.clock.wall()
+    }
+
+    fn hear_clock(&self, peer: &str, clock: u64) {
+        let since = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.clocks.lock().insert(Arc::from(instance_of(peer)), clock.saturating_sub(since));
+    }
+
     fn note_silent(&self, _peer: &str) {
         self.renewed.send_modify(|count| *count += 1);
     }
@@ -428,7 +530,7 @@
 fn describe(record: &HolderRecord, end: Offset) -> String {
     let mut text = format!("end={end} document={} closed={}", record.document, record.closed);
     for (account, holding) in &record.holdings {
-        text.push_str(&format!(" {account}={}/{}", holding.settled, holding.ceiling));
+        text.push_str(&format!(" {account}={}/{}+{}", holding.settled, holding.ceiling, holding.reserve));
     }
     text
 }
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -64,6 +64,12 @@
     /// Takes in room that `peer` passed on, and how much that has left.
     fn borrow(&self, peer: &str, account: &ClientAccountName, loan: Loan);
 
+    /// Time of day, in milliseconds since 1970.
+    fn clock(&self) -> u64;
+
+    /// Learns the time of day at `peer`.
+    fn hear_clock(&self, peer: &str, clock: u64);
+
     /// Learns that `peer` does not answer.
     fn note_silent(&self, peer: &str);
 }
@@ -178,6 +184,7 @@
             match loan {
                 Ok(loan) if loan.ticket == ticket => {
                     self.forget_void(peer, void);
+                    lender.hear_clock(peer, loan.clock);
                     let account = ClientAccountName::from(loan.account);
                     lender.borrow(peer, &account, Loan { amount: Tokens(loan.amount), left: Tokens(loan.left) });
                 }
@@ -229,7 +236,13 @@
         while self.order.len() > LOANS_KEPT {
             self.order.pop_front().map(|key| self.loans.remove(&key));
         }
-        LoanMessage { ticket: ask.ticket, account: ask.account.clone(), amount: loan.amount.0, left: loan.left.0 }
+        LoanMessage {
+            ticket: ask.ticket,
+            account: ask.account.clone(),
+            amount: loan.amount.0,
+            left: loan.left.0,
+            clock: lender.clock(),
+        }
     }
 }
 
@@ -291,7 +304,7 @@
 /// Writes the record of this run; writing it twice does no harm.
 pub async fn announce(log: Arc<dyn KeyedLog>, record: KeyedRecord, stop: CancellationToken) {
     while !stop.is_cancelled() {
-        match log.append(Topic::Instances, None, record.clone()).await {
+        match log.append(Topic::Instances, None, vec![record.clone()]).await {
             Ok(_) => return,
             Err(error) => fleet_event!(Event::DependencyLost, "store topic=instances error={error:?}"),
         }
--- a/crates/wire/src/ceilings.rs
+++ b/crates/wire/src/ceilings.rs
@@ -1,5 +1,7 @@
 //! Encoded record of a holder's ceilings, the newest of which the store keeps for each holder.
 
+use std::sync::Arc;
+
 use coltsfootpick_core::ceilings::{HolderRecord, Holding};
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::units::Tokens;
@@ -17,6 +19,20 @@
     /// Tokens used when this was written.
     #[prost(uint64, tag = "3")]
     pub settled: u64,
+    /// Tokens above the ceiling for the time without the store.
+    #[prost(uint64, tag = "4")]
+    pub reserve: u64,
+}
+
+/// Stamp of another instance's record.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct WitnessMessage {
+    /// Instance.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Its stamp, in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub stamp: u64,
 }
 
 /// Newest record of a holder.
@@ -31,6 +47,12 @@
     /// Whether the holder ended.
     #[prost(bool, tag = "3")]
     pub closed: bool,
+    /// Time of day at the holder, in milliseconds since 1970.
+    #[prost(uint64, tag = "4")]
+    pub stamp: u64,
+    /// Stamps of others that were written before.
+    #[prost(message, repeated, tag = "5")]
+    pub witnesses: Vec<WitnessMessage>,
 }
 
 impl From<&HolderRecord> for HolderMessage {
@@ -39,11 +61,16 @@
             account: account.to_string(),
             ceiling: holding.ceiling.0,
             settled: holding.settled.0,
+            reserve: holding.reserve.0,
         };
+        let witness =
+            |(instance, stamp): (&Arc<str>, &u64)| WitnessMessage { instance: instance.to_string(), stamp: *stamp };
         Self {
             ceilings: record.holdings.iter().map(encode).collect(),
             document: record.document,
             closed: record.closed,
+            stamp: record.stamp,
+            witnesses: record.witnesses.iter().map(witness).collect(),
         }
     }
 }
@@ -51,13 +78,19 @@
 impl From<HolderMessage> for HolderRecord {
     fn from(message: HolderMessage) -> Self {
         let decode = |entry: CeilingMessage| {
-            let holding = Holding { ceiling: Tokens(entry.ceiling), settled: Tokens(entry.settled) };
+            let holding = Holding {
+                ceiling: Tokens(entry.ceiling),
+                settled: Tokens(entry.settled),
+                reserve: Tokens(entry.reserve),
+            };
             (ClientAccountName::from(entry.account), holding)
         };
         Self {
             holdings: message.ceilings.into_iter().map(decode).collect(),
             document: message.document,
             closed: message.closed,
+            stamp: message.stamp,
+            witnesses: message.witnesses.into_iter().map(|entry| (entry.instance.into(), entry.stamp)).collect(),
         }
     }
 }
--- a/crates/wire/src/loans.rs
+++ b/crates/wire/src/loans.rs
@@ -51,4 +51,7 @@
     /// Tokens that the giver has left.
     #[prost(uint64, tag = "4")]
     pub left: u64,
+    /// Time of day at the giver, in milliseconds since 1970.
+    #[prost(uint64, tag = "5")]
+    pub clock: u64,
 }
