Ceilings shrink with what is left of an account; lending counts as demand

Instances that were cut from the store were refused by peers that could reach it but had little room themselves. Change: the room below a ceiling is at most 12 %, with the reserve 40 %, of what is unused; lent room counts as use, and a loan that falls short wakes the renewal.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -214,8 +214,11 @@
 /// How far ceilings stand above what was used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CeilingPolicy {
-    /// Hundredths of an account's unused credit that all holders together keep below their ceilings.
+    /// Hundredths of an account's unused credit that all holders together keep below their ceilings and reserves.
     pub share: u64,
+    /// Hundredths of an account's unused credit that all holders together keep below their ceilings without their
+    /// reserves.
+    pub base: u64,
     /// Time of own use that a ceiling covers once the rate of use is known.
     pub window: Duration,
     /// Time without a record after which a holder counts as ended for sizing; its ceiling still binds.
@@ -224,7 +227,7 @@
 
 impl Default for CeilingPolicy {
     fn default() -> Self {
-        Self { share: 40, window: Duration::from_secs(12), silence: Duration::from_secs(20) }
+        Self { share: 40, base: 12, window: Duration::from_secs(12), silence: Duration::from_secs(20) }
     }
 }
 
@@ -243,9 +246,6 @@
 /// Time of own use that a ceiling covers, beside the reserve: an outage up to [`ISOLATION`] and a write's delay.
 const BASE_WINDOW: Duration = Duration::from_millis(3_500);
 
-/// Least part of the aimed room that lies below the ceiling, as a divisor; it covers uneven use.
-const BASE_PART: u64 = 4;
-
 /// Time of own use that is borrowed at once, so that loans stay rare.
 const LOAN_WINDOW: Duration = Duration::from_secs(2);
 
@@ -369,6 +369,7 @@
         let room = purse.room(isolated);
         let amount = if room < least { Tokens::ZERO } else { most.min(Tokens(room.0 / 2)).max(least) };
         purse.lent += amount;
+        purse.demand.add(amount.max(least), now, RATE_HORIZON);
         Loan { amount, left: purse.room(isolated) }
     }
 
@@ -421,8 +422,8 @@
             let others = book.others(&self.holder, account, now, self.policy.silence);
             let purse = self.purses.entry(account.clone()).or_default();
             purse.seen = others.seen;
-            let total = aimed_room(&self.policy, purse, others, prepaid, fleet, now).max(purse.wanted);
-            let aim = total.min(use_in(purse, BASE_WINDOW, now).max(Tokens(total.0 / BASE_PART))).max(purse.wanted);
+            let room = AimedRoom::new(&self.policy, purse, others, prepaid, fleet, now);
+            let (aim, total) = (room.base.max(purse.wanted), room.total.max(purse.wanted));
             let most = prepaid.less(others.ceiling).max(purse.taken());
             // A holder behind the others' document does not know what was paid for and must not raise.
             let most = if document < book.newest_document() { most.min(purse.ceiling) } else { most };
@@ -516,22 +517,29 @@
     }
 }
 
-/// Room that a holder aims to have above what it took: its part of the shared room, or a window of its own use.
-fn aimed_room(
-    policy: &CeilingPolicy,
-    purse: &Purse,
-    others: Others,
-    prepaid: Tokens,
-    fleet: u64,
-    now: Instant,
-) -> Tokens {
-    let unused = prepaid.less(others.settled + purse.used);
-    let base = prepaid.0 / PERCENT * BASE_SHARE;
-    let weight = u128::from(purse.used.0 + base);
-    let weights = u128::from(others.alive.0 + purse.used.0 + base * fleet).max(1);
-    let shared = u128::from(unused.0 / PERCENT * policy.share) * weight / weights;
-    let shared = Tokens(u64::try_from(shared).unwrap_or(u64::MAX));
-    shared.min(use_in(purse, policy.window, now).max(Tokens(shared.0 / 2)))
+/// Room that a holder aims to have above what it took.
+struct AimedRoom {
+    /// Below its ceiling.
+    base: Tokens,
+    /// Below its ceiling and its reserve together.
+    total: Tokens,
+}
+
+impl AimedRoom {
+    /// Room for a window of own use, within shares of what is left of the account: the nearer its end, the less may
+    /// be in doubt when a holder dies, since what is in doubt then blocks the rest.
+    fn new(policy: &CeilingPolicy, purse: &Purse, others: Others, prepaid: Tokens, fleet: u64, now: Instant) -> Self {
+        let unused = prepaid.less(others.settled + purse.used);
+        let own = prepaid.0 / PERCENT * BASE_SHARE;
+        let weight = u128::from(purse.used.0 + own);
+        let weights = u128::from(others.alive.0 + purse.used.0 + own * fleet).max(1);
+        let part = u128::from(unused.0) * weight / weights;
+        let within = |window: Duration, most: u64| {
+            let most = Tokens(u64::try_from(part * u128::from(most) / u128::from(PERCENT)).unwrap_or(u64::MAX));
+            most.min(use_in(purse, window, now).max(Tokens(most.0 / 2)))
+        };
+        Self { base: within(BASE_WINDOW, policy.base), total: within(policy.window, policy.share) }
+    }
 }
 
 /// Tokens that a holder uses in `span` at its present rate.
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -469,7 +469,11 @@
 
 impl Lender for CreditKeeper {
     fn lend(&self, account: &ClientAccountName, least: Tokens, most: Tokens) -> Loan {
-        self.purses.lock().lend(account, least, most, self.board.clock.now())
+        let loan = self.purses.lock().lend(account, least, most, self.board.clock.now());
+        if loan.amount < most {
+            self.wanted.notify_one();
+        }
+        loan
     }
 
     fn take_back(&self, account: &ClientAccountName, amount: Tokens) {
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -136,6 +136,7 @@
     let default = CeilingPolicy::default();
     CeilingPolicy {
         share: credit.number("share-percent", 1..=100, default.share),
+        base: credit.number("base-percent", 1..=100, default.base),
         window: credit.millis("window-ms", 100..=600_000, millis(default.window)),
         silence: credit.millis("silence-ms", 1_000..=3_600_000, millis(default.silence)),
     }
