A holder that returns behind the others' document keeps its ceiling over what it used

The sum of written ceilings rose to 2,816,293: an instance that had used its reserve for 8 s without the store came back with an older document, and the rule that such a holder must not raise its ceiling wrote one below its use, so that others took the same tokens. Test: ceilings::returns_behind and never_overspent, extended by documents, fail without the change. Also: streams that break off are charged in full, open ones for ten events on the way; a plan that is not written leaves the time of the last record as it was; the log names accounts whose amount changed.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -306,13 +306,14 @@
     purses: BTreeMap<ClientAccountName, Purse>,
     pending: Vec<(Offset, HolderRecord)>,
     stamped: Option<Instant>,
-    stamped_before: Option<Instant>,
+    /// What `stamped` was before a record was planned whose write has not ended.
+    planned: Option<Option<Instant>>,
 }
 
 impl Purses {
     /// Empty purses of a fresh holder.
     pub const fn new(holder: Arc<str>, policy: CeilingPolicy) -> Self {
-        Self { holder, policy, purses: BTreeMap::new(), pending: Vec::new(), stamped: None, stamped_before: None }
+        Self { holder, policy, purses: BTreeMap::new(), pending: Vec::new(), stamped: None, planned: None }
     }
 
     /// Name under which the holder writes.
@@ -426,7 +427,8 @@
             let (aim, total) = (room.base.max(purse.wanted), room.total.max(purse.wanted));
             let most = prepaid.less(others.ceiling).max(purse.taken());
             // A holder behind the others' document does not know what was paid for and must not raise.
-            let most = if document < book.newest_document() { most.min(purse.ceiling) } else { most };
+            let kept = purse.ceiling.max(purse.taken());
+            let most = if document < book.newest_document() { most.min(kept) } else { most };
             let ceiling = (purse.taken() + aim).min(most);
             let reserve = total.less(aim).min(most.less(ceiling));
             let room = purse.room(false).0;
@@ -439,7 +441,7 @@
             return None;
         }
         self.lower(&record);
-        self.stamped_before = self.stamped.replace(now);
+        self.planned = Some(self.stamped.replace(now));
         Some(record)
     }
 
@@ -454,12 +456,14 @@
 
     /// Notes that `record` is the newest one of this holder in the log.
     pub fn confirm(&mut self, record: &HolderRecord) {
+        self.planned = None;
         self.pending.clear();
         self.set_ceilings(record);
     }
 
     /// Notes that `record` may have been written at `at`, or may still be until another record is written there.
     pub fn note_unknown(&mut self, at: Offset, record: HolderRecord) {
+        self.planned = None;
         self.pending.push((at, record));
         self.restrain();
     }
@@ -483,7 +487,7 @@
 
     /// Returns to the ceilings of `newest`, this holder's record, after a write that did not take effect.
     pub fn restore(&mut self, newest: Option<&HolderRecord>) {
-        self.stamped = self.stamped_before;
+        self.stamped = self.planned.take().unwrap_or(self.stamped);
         if let Some(record) = newest {
             self.set_ceilings(record);
         }
--- a/crates/serving/src/document.rs
+++ b/crates/serving/src/document.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootpick_core::routes::RouteTable;
+
 use crate::board::Board;
 use crate::borders::{KeyedRecord, RecordDialect};
 use crate::events::Event;
@@ -31,11 +33,12 @@
             Ok(Some(table)) => {
                 let (version, routes) = (table.version(), table.routes());
                 let accounts = table.accounts().count();
+                let changes = self.board.table().map(|before| prepaid_changes(&before, &table)).unwrap_or_default();
                 let is_newer = self.board.put_table(table);
                 let outcome = if is_newer { "in-force" } else { "older-skipped" };
                 fleet_event!(
                     Event::DocumentApplied,
-                    "version={version} routes={routes} accounts={accounts} outcome={outcome}"
+                    "version={version} routes={routes} accounts={accounts} outcome={outcome}{changes}"
                 );
             }
             Err(error) => fleet_event!(Event::RecordSkipped, "topic=documents key={:?} reason={error}", record.key),
@@ -46,3 +49,16 @@
 
     fn tick(&mut self) {}
 }
+
+/// Accounts named in one line at most.
+const CHANGES_LISTED: usize = 12;
+
+/// What each account had and has paid for, where that differs.
+fn prepaid_changes(before: &RouteTable, after: &RouteTable) -> String {
+    let changed = after.accounts().filter_map(|account| {
+        let had = before.account(&account.name).and_then(|known| known.prepaid).unwrap_or_default();
+        let has = account.prepaid.unwrap_or_default();
+        (had != has).then(|| format!(" {}={had}->{has}", account.name))
+    });
+    changed.take(CHANGES_LISTED).collect()
+}
--- a/crates/serving/src/path.rs
+++ b/crates/serving/src/path.rs
@@ -52,6 +52,21 @@
     pub dialect: Arc<dyn BackendDialect>,
 }
 
+/// Events that a server may have sent and that were not read when a stream is cut here.
+const EVENTS_ON_THE_WAY: u64 = 10;
+
+/// How much of a generation is paid for.
+enum Spent {
+    /// It is proved not to have run.
+    Nothing,
+    /// It runs and brought this many events; dropped now, a few more are on the way.
+    Open(u64),
+    /// It ended with this many events.
+    Whole(u64),
+    /// It broke off; the server may have sent more than was read.
+    Unknown,
+}
+
 /// Request whose route, account and credit are settled.
 struct Accepted {
     request: CallerRequest,
@@ -72,12 +87,17 @@
         self.account.as_ref().and_then(|account| account.rank).unwrap_or(self.route.rank)
     }
 
-    /// Charges the prompt once the request may have run, and the tokens that came.
-    fn charge_run(&mut self, output: Tokens) {
-        let prompt = self.request.generation.as_ref().map_or(Tokens::ZERO, |generation| generation.prompt);
-        if let Some(charge) = &mut self.charge {
-            charge.set_used(prompt + output);
-        }
+    /// Charges what the request has used as far as it is known; more is never used than this tells.
+    fn charge_for(&mut self, spent: Spent) {
+        let generation = self.request.generation.as_ref();
+        let (Some(charge), Some(generation)) = (&mut self.charge, generation) else { return };
+        let events = |count: u64| generation.prompt + Tokens(count.saturating_mul(self.stride));
+        charge.set_used(match spent {
+            Spent::Nothing => Tokens::ZERO,
+            Spent::Open(count) => events(count + EVENTS_ON_THE_WAY),
+            Spent::Whole(count) => events(count),
+            Spent::Unknown => generation.bound(),
+        });
     }
 
     /// Whether another server may be tried after a sending that may have run.
@@ -179,7 +199,7 @@
             let Some((server, spread)) = self.place(accepted) else {
                 return Err(self.give_up(accepted, "no server takes it"));
             };
-            let error = match self.send_once(accepted, &server, &spread, None).await {
+            let error = match self.send_once(accepted, &server, &spread, (None, 0)).await {
                 Ok(sent) => return Ok((sent.0, server, sent.1)),
                 Err(error) => error,
             };
@@ -203,7 +223,7 @@
         accepted: &mut Accepted,
         server: &Arc<Server>,
         spread: &Spread,
-        resumes: Option<&str>,
+        (resumes, events): (Option<&str>, u64),
     ) -> Result<(Reply, Dispatch), SendError> {
         let left = accepted.until.saturating_duration_since(Instant::now());
         let account = accepted.account.clone();
@@ -231,7 +251,7 @@
             self.board.note_first_send(&accepted.service);
         }
         // Dropped while the server is at work, the request may have run: it is charged before it is sent.
-        accepted.charge_run(Tokens::ZERO);
+        accepted.charge_for(Spent::Open(events));
         let sent = send(&self.board, &*self.dialect, &accepted.request, server, &sending, accepted.until).await;
         match &sent {
             Err(SendError::NotSent(_) | SendError::OtherServer) => {}
@@ -418,7 +438,7 @@
             let piece = read_piece(&mut reply.body, &mut self.cutter, self.accepted.until).await;
             let reason = match piece {
                 Piece::Events(events) => {
-                    self.accepted.charge_run(self.cutter.tokens(self.accepted.stride));
+                    self.accepted.charge_for(Spent::Open(self.cutter.events()));
                     self.current = Some((reply, server, dispatch));
                     return Step::Events(events);
                 }
@@ -452,7 +472,7 @@
         let last = self.cutter.last().map(str::to_owned);
         let (id, events) = (Arc::clone(&self.accepted.request.id), self.cutter.events());
         fleet_event!(Event::StreamResumed, "request={id} server={} events={events} last={last:?}", server.entry.name);
-        match self.path.send_once(&mut self.accepted, &server, &spread, last.as_deref()).await {
+        match self.path.send_once(&mut self.accepted, &server, &spread, (last.as_deref(), events)).await {
             Ok((reply, dispatch)) if reply.head.status.is_success() => {
                 self.current = Some((reply, server, dispatch));
                 true
@@ -466,6 +486,7 @@
     }
 
     fn note_end(&mut self, server: &Server) {
+        self.accepted.charge_for(Spent::Whole(self.cutter.events()));
         let span = self.accepted.request.arrived.elapsed().as_millis();
         let (id, name) = (&self.accepted.request.id, &server.entry.name);
         let used = self.accepted.charge.as_ref().map_or(Tokens::ZERO, Charge::used);
@@ -475,6 +496,7 @@
     }
 
     fn cut(&mut self, reason: &str) -> Step {
+        self.accepted.charge_for(Spent::Unknown);
         let (id, events) = (&self.accepted.request.id, self.cutter.events());
         fleet_event!(Event::StreamCut, "request={id} events={events} reason=\"{reason}\"");
         self.watch.end("cut");
--- a/crates/serving/src/stream.rs
+++ b/crates/serving/src/stream.rs
@@ -1,7 +1,6 @@
 //! Streamed answers: whole events in order, each once, over as many backend servers as it takes.
 
 use bytes::{Bytes, BytesMut};
-use coltsfootpick_core::units::Tokens;
 use event_ends::end_of_events;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -62,11 +61,6 @@
     pub const fn events(&self) -> u64 {
         self.events
     }
-
-    /// Tokens of the events seen, at `stride` tokens an event.
-    pub const fn tokens(&self, stride: u64) -> Tokens {
-        Tokens(self.events.saturating_mul(stride))
-    }
 }
 
 /// Reads from `body` until whole events, the end or a break.
