--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -48,6 +48,10 @@
 /// When a request without credit should come back while the store does not answer.
 const STORE_BACKOFF: Duration = Duration::from_secs(1);
 
+/// When a request should come back while what is left of its account lies below the ceilings of others: some of it
+/// returns as their requests end.
+const DOUBT_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Time after its announcement in which a fresh holder hears of the others before it takes its share.
 const ANNOUNCE_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -169,10 +173,12 @@
             waiting.get_or_insert_with(|| Waiting::new(self, account, bound));
             self.wanted.notify_one();
             let is_asked = self.ask_next(account, bound, &mut asked);
-            let is_reachable = self.reachable.load(Ordering::Relaxed);
-            if !is_asked && !is_reachable {
+            if !is_asked && !self.reachable.load(Ordering::Relaxed) {
                 return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(STORE_BACKOFF));
             }
+            if !is_asked && self.needs_peers(account, bound) {
+                return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(DOUBT_BACKOFF));
+            }
             let wait = if is_asked { until.min(Instant::now() + PEER_WAIT) } else { until };
             let changed = tokio::time::timeout_at(wait, renewed.changed()).await;
             if changed.is_err() && Instant::now() >= until {
