--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -35,7 +35,7 @@
 ///
 /// A run that was killed is replaced within some 1.5 s and writes every [`WRITE_EVERY`]; the rest covers the reading
 /// of clocks.
-pub const ISOLATION: Duration = Duration::from_millis(3_000);
+pub const ISOLATION: Duration = Duration::from_secs(3);
 
 /// Time between two records of a holder in a fleet of a few instances.
 pub const WRITE_EVERY: Duration = Duration::from_millis(450);
@@ -92,6 +92,7 @@
     }
 
     /// Record that ends a dead holder; its reserve goes back when it cannot have been used.
+    #[must_use]
     pub fn ended(&self, is_reserve_unused: bool) -> Self {
         let mut ended = Self { closed: true, ..self.clone() };
         for holding in ended.holdings.values_mut().filter(|_| is_reserve_unused) {
@@ -303,17 +304,24 @@
 pub struct Purses {
     holder: Arc<str>,
     policy: CeilingPolicy,
-    purses: BTreeMap<ClientAccountName, Purse>,
+    accounts: BTreeMap<ClientAccountName, Purse>,
     pending: Vec<(Offset, HolderRecord)>,
     stamped: Option<Instant>,
-    /// What `stamped` was before a record was planned whose write has not ended.
-    planned: Option<Option<Instant>>,
+    /// Record that was planned and whose write has not ended.
+    planned: Option<Planned>,
+}
+
+/// What a planned record replaces when its write takes no effect.
+#[derive(Clone, Copy, Debug)]
+struct Planned {
+    /// Time of the newest record before it.
+    before: Option<Instant>,
 }
 
 impl Purses {
     /// Empty purses of a fresh holder.
     pub const fn new(holder: Arc<str>, policy: CeilingPolicy) -> Self {
-        Self { holder, policy, purses: BTreeMap::new(), pending: Vec::new(), stamped: None, planned: None }
+        Self { holder, policy, accounts: BTreeMap::new(), pending: Vec::new(), stamped: None, planned: None }
     }
 
     /// Name under which the holder writes.
@@ -335,7 +343,7 @@
         now: Instant,
     ) -> ReserveOutcome {
         let isolated = self.is_isolated(now);
-        let purse = self.purses.entry(account.clone()).or_default();
+        let purse = self.accounts.entry(account.clone()).or_default();
         if purse.seen + purse.used + bound > prepaid {
             return ReserveOutcome::Exhausted;
         }
@@ -348,13 +356,13 @@
 
     /// Notes that a request waits for `bound` tokens, or with `false` that it no longer does.
     pub fn want(&mut self, account: &ClientAccountName, bound: Tokens, waits: bool) {
-        let purse = self.purses.entry(account.clone()).or_default();
+        let purse = self.accounts.entry(account.clone()).or_default();
         purse.wanted = if waits { purse.wanted + bound } else { purse.wanted.less(bound) };
     }
 
     /// Ends a reservation of `bound` tokens of which `used` were used.
     pub fn settle(&mut self, account: &ClientAccountName, bound: Tokens, used: Tokens, now: Instant) {
-        let purse = self.purses.entry(account.clone()).or_default();
+        let purse = self.accounts.entry(account.clone()).or_default();
         let used = used.min(bound);
         purse.reserved = purse.reserved.less(bound);
         purse.used += used;
@@ -366,7 +374,7 @@
     /// The giver's written ceiling covers what it lent, so the sum that the log knows does not change.
     pub fn lend(&mut self, account: &ClientAccountName, least: Tokens, most: Tokens, now: Instant) -> Loan {
         let isolated = self.is_isolated(now);
-        let purse = self.purses.entry(account.clone()).or_default();
+        let purse = self.accounts.entry(account.clone()).or_default();
         let room = purse.room(isolated);
         let amount = if room < least { Tokens::ZERO } else { most.min(Tokens(room.0 / 2)).max(least) };
         purse.lent += amount;
@@ -376,30 +384,30 @@
 
     /// Takes back what was lent to a holder that never heard of it.
     pub fn take_back(&mut self, account: &ClientAccountName, amount: Tokens) {
-        let purse = self.purses.entry(account.clone()).or_default();
+        let purse = self.accounts.entry(account.clone()).or_default();
         purse.lent = purse.lent.less(amount);
     }
 
     /// Takes in room that another holder passed on.
     pub fn borrow(&mut self, account: &ClientAccountName, amount: Tokens) {
-        self.purses.entry(account.clone()).or_default().borrowed += amount;
+        self.accounts.entry(account.clone()).or_default().borrowed += amount;
     }
 
     /// Room that this holder would like to have beside `bound` tokens that are asked for now.
     pub fn wish(&self, account: &ClientAccountName, bound: Tokens, now: Instant) -> Tokens {
-        let purse = self.purses.get(account).copied().unwrap_or_default();
+        let purse = self.accounts.get(account).copied().unwrap_or_default();
         bound.max(purse.wanted) + use_in(&purse, LOAN_WINDOW, now)
     }
 
     /// Tokens used, set aside and allowed of `account`.
     pub fn view(&self, account: &ClientAccountName) -> (Tokens, Tokens, Tokens) {
         let view = |purse: &Purse| (purse.used, purse.reserved, (purse.ceiling + purse.borrowed).less(purse.lent));
-        self.purses.get(account).map(view).unwrap_or_default()
+        self.accounts.get(account).map(view).unwrap_or_default()
     }
 
     /// Whether any request waits for a higher ceiling.
     pub fn is_short(&self) -> bool {
-        self.purses.values().any(|purse| !purse.wanted.is_zero())
+        self.accounts.values().any(|purse| !purse.wanted.is_zero())
     }
 
     /// Next record to write, when one is due; `accounts` are those that are limited, with what they paid for.
@@ -421,7 +429,7 @@
         let fleet = book.alive(&self.holder, now, self.policy.silence) as u64 + 1;
         for (account, prepaid) in accounts {
             let others = book.others(&self.holder, account, now, self.policy.silence);
-            let purse = self.purses.entry(account.clone()).or_default();
+            let purse = self.accounts.entry(account.clone()).or_default();
             purse.seen = others.seen;
             let room = AimedRoom::new(&self.policy, purse, others, prepaid, fleet, now);
             let (aim, total) = (room.base.max(purse.wanted), room.total.max(purse.wanted));
@@ -441,14 +449,14 @@
             return None;
         }
         self.lower(&record);
-        self.planned = Some(self.stamped.replace(now));
+        self.planned = Some(Planned { before: self.stamped.replace(now) });
         Some(record)
     }
 
     /// Last record of a holder that ends: ceilings fall to what was used.
     pub fn close(&mut self, document: u64) -> HolderRecord {
         let spent = |purse: &Purse| Holding { ceiling: purse.taken(), settled: purse.used, reserve: Tokens::ZERO };
-        let holdings = self.purses.iter().map(|(account, purse)| (account.clone(), spent(purse))).collect();
+        let holdings = self.accounts.iter().map(|(account, purse)| (account.clone(), spent(purse))).collect();
         let record = HolderRecord { holdings, document, closed: true, ..HolderRecord::default() };
         self.lower(&record);
         record
@@ -487,7 +495,9 @@
 
     /// Returns to the ceilings of `newest`, this holder's record, after a write that did not take effect.
     pub fn restore(&mut self, newest: Option<&HolderRecord>) {
-        self.stamped = self.planned.take().unwrap_or(self.stamped);
+        if let Some(planned) = self.planned.take() {
+            self.stamped = planned.before;
+        }
         if let Some(record) = newest {
             self.set_ceilings(record);
         }
@@ -500,14 +510,14 @@
     }
 
     fn set_ceilings(&mut self, record: &HolderRecord) {
-        for (account, purse) in &mut self.purses {
+        for (account, purse) in &mut self.accounts {
             let holding = record.holdings.get(account).copied().unwrap_or_default();
             (purse.ceiling, purse.reserve) = (holding.ceiling, holding.reserve);
         }
     }
 
     fn lower(&mut self, record: &HolderRecord) {
-        for (account, purse) in &mut self.purses {
+        for (account, purse) in &mut self.accounts {
             let holding = record.holdings.get(account).copied().unwrap_or_default();
             purse.ceiling = purse.ceiling.min(holding.ceiling);
             purse.reserve = purse.reserve.min(holding.reserve);
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -25,16 +25,18 @@
 /// The store: an ordered log of records, and writes whose answer was lost and that may still take effect.
 #[derive(Default)]
 struct Log {
-    records: Vec<(Arc<str>, HolderRecord)>,
-    late: Vec<(Offset, Vec<(Arc<str>, HolderRecord)>)>,
+    records: Vec<Keyed>,
+    late: Vec<(Offset, Vec<Keyed>)>,
 }
 
+type Keyed = (Arc<str>, HolderRecord);
+
 impl Log {
     fn end(&self) -> Offset {
         Offset(self.records.len() as u64)
     }
 
-    fn append(&mut self, at: Offset, records: Vec<(Arc<str>, HolderRecord)>) -> bool {
+    fn append(&mut self, at: Offset, records: Vec<Keyed>) -> bool {
         let fits = at == self.end();
         if fits {
             self.records.extend(records);
@@ -211,9 +213,13 @@
 
     /// Kills some instances at once and starts them again after `down` milliseconds.
     fn restart(&mut self, instances: &[usize], down: u64) {
-        instances.iter().for_each(|at| self.kill(*at));
+        for at in instances {
+            self.kill(*at);
+        }
         self.now = self.now.after(Duration::from_millis(down));
-        instances.iter().for_each(|at| self.start(*at));
+        for at in instances {
+            self.start(*at);
+        }
     }
 
     fn lend(&mut self, from: usize, to: usize, least: u64, is_lost: bool) {
@@ -246,7 +252,7 @@
     Drain(usize),
     Restart(Vec<usize>, u64),
     Lend(usize, usize, u64, bool),
-    Step(usize, i64),
+    Jump(usize, i64),
     Publish,
     ReadDocument(usize),
 }
@@ -271,7 +277,7 @@
         1 => Just(Step::Publish),
         4 => instance.clone().prop_map(Step::ReadDocument),
         // One clock of four jumps, by more than the time without the store.
-        1 => (-4_000_i64..4_000).prop_map(|jump| Step::Step(0, jump)),
+        1 => (-4_000_i64..4_000).prop_map(|jump| Step::Jump(0, jump)),
     ]
 }
 
@@ -295,7 +301,7 @@
         Step::Lend(from, to, least, lost) => world.lend(from, to, least, lost),
         Step::Publish => world.version += 1,
         Step::ReadDocument(at) => world.read_document(at),
-        Step::Step(at, jump) => world.walls[at] += jump,
+        Step::Jump(at, jump) => world.walls[at] += jump,
     }
 }
 
@@ -339,7 +345,7 @@
 fn reserve_waits() {
     let mut world = settled();
     let at_once = spend_all(&mut world, 0);
-    world.now = world.now.after(ISOLATION - Duration::from_millis(200));
+    world.now = world.now.after(ISOLATION.saturating_sub(Duration::from_millis(200)));
     let early = spend_all(&mut world, 0);
     world.now = world.now.after(Duration::from_millis(200));
     let isolated = spend_all(&mut world, 0);
--- a/crates/serving/src/answer.rs
+++ b/crates/serving/src/answer.rs
@@ -24,22 +24,20 @@
     Events(EventStream),
 }
 
+impl std::fmt::Debug for AnswerBody {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Whole(bytes) => write!(f, "Whole({} bytes)", bytes.len()),
+            Self::Events(_) => f.write_str("Events"),
+        }
+    }
+}
+
 /// Outcome of one request.
+#[derive(Debug)]
 pub enum Answer {
     /// Answer of a backend server, its status and headers unchanged.
     Relayed(Box<Parts>, AnswerBody),
     /// Refusal.
     Refused(Refusal),
 }
-
-impl std::fmt::Debug for Answer {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Relayed(parts, AnswerBody::Whole(body)) => {
-                write!(f, "Relayed({}, {} bytes)", parts.status, body.len())
-            }
-            Self::Relayed(parts, AnswerBody::Events(_)) => write!(f, "Relayed({}, events)", parts.status),
-            Self::Refused(refusal) => write!(f, "Refused({refusal})"),
-        }
-    }
-}
--- a/crates/serving/src/board.rs
+++ b/crates/serving/src/board.rs
@@ -164,11 +164,16 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Counts a request as under way until the guard is dropped.
-    pub fn enter(self: &Arc<Self>) -> OpenRequest {
+    /// Counts a request as under way.
+    pub fn enter(&self) {
         self.open.fetch_add(1, Ordering::Relaxed);
         self.metrics.open.inc();
-        OpenRequest { board: Arc::clone(self) }
+    }
+
+    /// Counts a request as ended.
+    pub fn exit(&self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+        self.metrics.open.dec();
     }
 
     /// Notes a first sending to `service`.
@@ -195,16 +200,3 @@
     let fleet = u32::try_from(fleet.max(1)).unwrap_or(u32::MAX);
     RetryShare { firsts, saved: (bound.slack / 2 / fleet).max(1) }
 }
-
-/// Request under way.
-#[derive(Debug)]
-pub struct OpenRequest {
-    board: Arc<Board>,
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.board.open.fetch_sub(1, Ordering::Relaxed);
-        self.board.metrics.open.dec();
-    }
-}
--- /dev/null
+++ b/crates/serving/src/ending.rs
@@ -0,0 +1,74 @@
+//! The end of each request: exactly one log line and one count, also when its caller leaves.
+
+use std::sync::Arc;
+
+use coltsfootpick_core::refusal::Refusal;
+use http::response::Parts;
+use tokio::time::Instant;
+
+use crate::answer::{Answer, AnswerBody};
+use crate::board::Board;
+use crate::events::Event;
+use crate::fleet_event;
+use crate::metrics::Metrics;
+use crate::servers::Server;
+
+/// Request under way; dropped before its end, its caller has left.
+#[derive(Debug)]
+pub struct Ending {
+    board: Arc<Board>,
+    id: Arc<str>,
+    arrived: Instant,
+    is_over: bool,
+}
+
+impl Ending {
+    /// Counts a request as under way.
+    pub fn new(board: &Arc<Board>, id: &Arc<str>, arrived: Instant) -> Self {
+        board.enter();
+        Self { board: Arc::clone(board), id: Arc::clone(id), arrived, is_over: false }
+    }
+
+    /// Identity of the request.
+    pub const fn id(&self) -> &Arc<str> {
+        &self.id
+    }
+
+    /// Milliseconds since the request arrived.
+    pub fn millis(&self) -> u128 {
+        self.arrived.elapsed().as_millis()
+    }
+
+    /// Counts the end under `outcome`.
+    pub fn end(&mut self, outcome: &str) {
+        self.is_over = true;
+        Metrics::count(&self.board.metrics.ended, outcome);
+        self.board.metrics.whole.observe(self.arrived.elapsed().as_secs_f64());
+    }
+
+    /// Ends with a refusal.
+    pub fn refuse(mut self, refusal: Refusal) -> Answer {
+        let Refusal { code, run, detail, .. } = &refusal;
+        fleet_event!(Event::Refused, "request={} code={code} run={run} ms={} {detail}", self.id, self.millis());
+        self.end(&code.to_string());
+        Answer::Refused(refusal)
+    }
+
+    /// Ends with a server's whole answer.
+    pub fn answer(mut self, server: &Server, head: Parts, body: AnswerBody) -> Answer {
+        let (name, status) = (&server.entry.name, head.status.as_u16());
+        fleet_event!(Event::Answered, "request={} server={name} status={status} ms={}", self.id, self.millis());
+        self.end(if head.status.is_success() { "answered" } else { "failure-relayed" });
+        Answer::Relayed(Box::new(head), body)
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        if !self.is_over {
+            fleet_event!(Event::CallerLeft, "request={} after_ms={}", self.id, self.millis());
+            self.end("caller-left");
+        }
+        self.board.exit();
+    }
+}
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::{
-    CeilingPolicy, CreditBook, HolderRecord, Loan, Purses, ReserveOutcome, WRITE_EVERY, instance_of,
+    CeilingPolicy, CreditBook, HolderRecord, Holding, Loan, Purses, ReserveOutcome, WRITE_EVERY, instance_of,
 };
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::refusal::{Code, Refusal};
@@ -193,13 +193,13 @@
             return false;
         }
         let (now, awake) = (Instant::now(), self.peers.awake());
-        let holder = Arc::clone(self.purses.lock().holder());
+        let holder = self.holder();
         let rooms = self.book.lock().rooms(&holder, account);
         let poor = self.poor.lock();
         let is_poor =
             |peer: &Arc<str>| poor.get(&(Arc::clone(peer), account.clone())).is_some_and(|until| *until > now);
-        let next = rooms.into_iter().map(|(peer, _)| peer);
-        let next = next.filter(|peer| awake.contains(peer) && !asked.contains(peer) && !is_poor(peer)).next();
+        let mut by_room = rooms.into_iter().map(|(peer, _)| peer);
+        let next = by_room.find(|peer| awake.contains(peer) && !asked.contains(peer) && !is_poor(peer));
         drop(poor);
         let Some(peer) = next else { return false };
         let wish = self.purses.lock().wish(account, bound, self.board.clock.now());
@@ -216,19 +216,29 @@
         }
         let Some(table) = self.board.table() else { return false };
         let prepaid = table.account(account).and_then(|account| account.prepaid).unwrap_or_default();
-        let holder = Arc::clone(self.purses.lock().holder());
+        let holder = self.holder();
         let others = self.book.lock().others(&holder, account, self.board.clock.now(), self.policy.silence);
         let (used, reserved, _) = self.purses.lock().view(account);
         prepaid.less(others.ceiling) < used + reserved + bound
     }
 
+    /// Name under which this run holds credit.
+    pub fn holder(&self) -> Arc<str> {
+        Arc::clone(self.purses.lock().holder())
+    }
+
+    /// Tokens of `account` that are used, set aside and allowed here.
+    pub fn view(&self, account: &ClientAccountName) -> (Tokens, Tokens, Tokens) {
+        self.purses.lock().view(account)
+    }
+
     /// Peers of this instance.
     pub const fn peers(&self) -> &Arc<Peers> {
         &self.peers
     }
 
     fn refusal(&self, code: Code, account: &ClientAccountName, bound: Tokens) -> Refusal {
-        let holder = Arc::clone(self.purses.lock().holder());
+        let holder = self.holder();
         let others = self.book.lock().others(&holder, account, self.board.clock.now(), self.policy.silence);
         let (used, reserved, allowed) = self.purses.lock().view(account);
         let table = self.board.table();
@@ -277,7 +287,7 @@
     }
 
     fn has_dead_runs(&self) -> bool {
-        let holder = Arc::clone(self.purses.lock().holder());
+        let holder = self.holder();
         !self.book.lock().predecessors(&holder).is_empty()
     }
 
@@ -291,7 +301,7 @@
     /// The platform starts a run only once the one before has ended, so these runs use nothing any more. A run whose
     /// proof needs clocks that are not known yet is left for the next renewal.
     fn ended_runs(self: &Arc<Self>) -> Vec<(Arc<str>, HolderRecord)> {
-        let holder = Arc::clone(self.purses.lock().holder());
+        let holder = self.holder();
         let own = instance_of(&holder);
         let dead = self.book.lock().predecessors(&holder);
         let clocks = self.clocks_at_start();
@@ -337,7 +347,7 @@
             if self.read().await.is_err() {
                 return false;
             }
-            let holder = Arc::clone(self.purses.lock().holder());
+            let holder = self.holder();
             match self.write(vec![(holder, record.clone())]).await {
                 Renewal::Done => return true,
                 Renewal::Lost => return false,
@@ -356,7 +366,7 @@
             }
             self.note_reach(true, "");
             let mut records = self.ended_runs();
-            let holder = Arc::clone(self.purses.lock().holder());
+            let holder = self.holder();
             records.extend(self.plan(announces).map(|record| (holder, record)));
             if records.is_empty() {
                 self.renewed.send_modify(|count| *count += 1);
@@ -414,7 +424,7 @@
     /// Writes records of this run, or of runs before it, where the log was read to.
     async fn write(&self, records: Vec<(Arc<str>, HolderRecord)>) -> Renewal {
         let at = self.book.lock().next();
-        let holder = Arc::clone(self.purses.lock().holder());
+        let holder = self.holder();
         let keyed = records.iter().map(|(name, record)| {
             let value = Some(HolderMessage::from(record).encode_to_vec().into());
             KeyedRecord { key: Arc::clone(name), value }
@@ -538,9 +548,9 @@
 }
 
 fn describe(record: &HolderRecord, end: Offset) -> String {
-    let mut text = format!("end={end} document={} closed={}", record.document, record.closed);
-    for (account, holding) in &record.holdings {
-        text.push_str(&format!(" {account}={}/{}+{}", holding.settled, holding.ceiling, holding.reserve));
-    }
-    text
+    let holdings = record.holdings.iter().map(|(account, holding)| {
+        let Holding { settled, ceiling, reserve } = holding;
+        format!(" {account}={settled}/{ceiling}+{reserve}")
+    });
+    format!("end={end} document={} closed={}{}", record.document, record.closed, holdings.collect::<String>())
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,9 +4,11 @@
 //! without a network. `docs/PLATFORM.md` tells how the parts meet; imports go from the top of this list downwards.
 
 pub mod path;
-pub mod stream;
+pub mod relay;
 
+pub mod accepted;
 pub mod drain;
+pub mod ending;
 pub mod exchange;
 pub mod keeper;
 pub mod peers;
@@ -26,3 +28,4 @@
 pub mod metrics;
 pub mod request;
 pub mod settings;
+pub mod stream;
--- a/crates/serving/src/lines.rs
+++ b/crates/serving/src/lines.rs
@@ -62,6 +62,7 @@
 }
 
 /// Writer that hands lines to its thread.
+#[derive(Debug)]
 pub struct BoundedLines {
     queue: SyncSender<String>,
     budget: Mutex<LineBudget>,
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -36,7 +36,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time for which a peer whose link ended is not asked.
-const PEER_REST: Duration = Duration::from_millis(1_000);
+const PEER_REST: Duration = Duration::from_secs(1);
 
 /// Asks that wait on one link.
 const ASKS_QUEUED: usize = 64;
--- /dev/null
+++ b/crates/serving/src/relay.rs
@@ -0,0 +1,185 @@
+//! Hands an answer on: whole for plain services, event by event for streams, over as many servers as the route allows.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootpick_core::refusal::{Code, Refusal, Run};
+use coltsfootpick_core::routes::Repeat;
+use coltsfootpick_core::units::Tokens;
+use futures_util::{StreamExt, stream};
+use http::response::Parts;
+
+use crate::accepted::{Accepted, Spent};
+use crate::answer::{Answer, AnswerBody, EventStream, StreamCut};
+use crate::ending::Ending;
+use crate::events::Event;
+use crate::exchange::SendError;
+use crate::fleet_event;
+use crate::keeper::Charge;
+use crate::path::{RequestPath, Sent};
+use crate::servers::Server;
+use crate::stream::{EventCutter, Piece, read_piece};
+
+/// Reads a whole answer before it is handed on, so that one that breaks off may be asked for again.
+pub async fn whole(path: &RequestPath, mut accepted: Accepted, sent: Sent, ending: Ending) -> Answer {
+    let mut current = sent;
+    loop {
+        let Sent { reply, server, dispatch } = current;
+        let error = match reply.read_whole(&server, accepted.until).await {
+            Ok((head, body)) => {
+                note_answer(&server, &head, dispatch.elapsed());
+                let may_go_on = head.status.is_server_error() && accepted.may_repeat();
+                if !may_go_on || !path.board.take_repeat(&accepted.service) {
+                    return ending.answer(&server, head, AnswerBody::Whole(body));
+                }
+                SendError::Unknown(format!("status {}", head.status.as_u16()))
+            }
+            Err(error) => {
+                path.note_send_error(&accepted, &server, &error);
+                let may_go_on = error != SendError::Late && accepted.may_repeat();
+                if !may_go_on || !path.board.take_repeat(&accepted.service) {
+                    return ending.refuse(path.give_up(&accepted, &error.to_string()));
+                }
+                error
+            }
+        };
+        drop(dispatch);
+        accepted.tried.push(server.entry.name.clone());
+        log::debug!("request {} is repeated after {error}", ending.id());
+        current = match path.dispatch(&mut accepted).await {
+            Ok(sent) => sent,
+            Err(refusal) => return ending.refuse(refusal),
+        };
+    }
+}
+
+/// Hands the events of a stream on as they come.
+pub async fn stream(path: RequestPath, accepted: Accepted, sent: Sent, ending: Ending) -> Answer {
+    let head = sent.reply.head.clone();
+    let cutter = EventCutter::default();
+    let mut relay = StreamRelay { path, accepted, current: Some(sent), cutter, ending };
+    // The head goes out with the first events, so that a break before them still has an answer of its own.
+    match relay.next().await {
+        Step::Events(first) => {
+            let rest = stream::unfold(Some(relay), |state| async move {
+                let mut relay = state?;
+                match relay.next().await {
+                    Step::Events(events) => Some((Ok(events), Some(relay))),
+                    Step::End => None,
+                    Step::Cut(_) => Some((Err(StreamCut), None)),
+                }
+            });
+            let events: EventStream = Box::pin(stream::iter([Ok(first)]).chain(rest));
+            Answer::Relayed(Box::new(head), AnswerBody::Events(events))
+        }
+        Step::End => Answer::Relayed(Box::new(head), AnswerBody::Whole(Bytes::new())),
+        Step::Cut(refusal) => Answer::Refused(refusal),
+    }
+}
+
+/// Notes what an answer tells of its server.
+fn note_answer(server: &Server, head: &Parts, took: Duration) {
+    let mut load = server.load.lock();
+    match head.status.is_server_error() {
+        true => load.note_error(),
+        false => {
+            load.note_success();
+            load.note_latency(took);
+        }
+    }
+}
+
+enum Step {
+    Events(Bytes),
+    End,
+    Cut(Refusal),
+}
+
+/// Streamed answer on its way.
+struct StreamRelay {
+    path: RequestPath,
+    accepted: Accepted,
+    current: Option<Sent>,
+    cutter: EventCutter,
+    ending: Ending,
+}
+
+impl StreamRelay {
+    async fn next(&mut self) -> Step {
+        loop {
+            let Some(mut sent) = self.current.take() else { return Step::End };
+            let reason = match read_piece(&mut sent.reply.body, &mut self.cutter, self.accepted.until).await {
+                Piece::Events(events) => {
+                    self.accepted.charge_for(Spent::Open(self.cutter.events()));
+                    self.current = Some(sent);
+                    return Step::Events(events);
+                }
+                Piece::End => {
+                    self.end(sent);
+                    return Step::End;
+                }
+                Piece::Late => return self.cut(Code::DeadlinePassed, "the deadline passed"),
+                Piece::Broken(reason) => reason,
+            };
+            let server = Arc::clone(&sent.server);
+            drop(sent);
+            self.path.note_send_error(&self.accepted, &server, &SendError::Unknown(reason.clone()));
+            self.accepted.tried.push(server.entry.name.clone());
+            if !self.resume().await {
+                return self.cut(Code::BackendFailed, &reason);
+            }
+        }
+    }
+
+    /// Goes on at another server after the last whole event, where the route allows it.
+    async fn resume(&mut self) -> bool {
+        let is_resumable = self.accepted.route.repeat == Repeat::Resumable;
+        if !is_resumable || !self.accepted.may_repeat() || !self.path.board.take_repeat(&self.accepted.service) {
+            return false;
+        }
+        self.cutter.forget_torn();
+        let Some((server, spread)) = self.path.place(&self.accepted) else { return false };
+        let last = self.cutter.last().map(str::to_owned);
+        let (id, events) = (self.ending.id(), self.cutter.events());
+        fleet_event!(Event::StreamResumed, "request={id} server={} events={events} last={last:?}", server.entry.name);
+        let sent = self.path.send_once(&mut self.accepted, &server, &spread, (last.as_deref(), events)).await;
+        match sent {
+            Ok(sent) if sent.reply.head.status.is_success() => {
+                self.current = Some(sent);
+                true
+            }
+            Ok(_) => false,
+            Err(error) => {
+                self.path.note_send_error(&self.accepted, &server, &error);
+                false
+            }
+        }
+    }
+
+    fn end(&mut self, sent: Sent) {
+        let Sent { reply, server, dispatch } = sent;
+        self.accepted.charge_for(Spent::Whole(self.cutter.events()));
+        note_answer(&server, &reply.head, dispatch.elapsed());
+        let used = self.accepted.charge.as_ref().map_or(Tokens::ZERO, Charge::used);
+        fleet_event!(
+            Event::Answered,
+            "request={} server={} status={} events={} used={used} ms={}",
+            self.ending.id(),
+            server.entry.name,
+            reply.head.status.as_u16(),
+            self.cutter.events(),
+            self.ending.millis()
+        );
+        self.ending.end("answered");
+        reply.give_back(&server);
+    }
+
+    fn cut(&mut self, code: Code, reason: &str) -> Step {
+        self.accepted.charge_for(Spent::Unknown);
+        let (id, events) = (self.ending.id(), self.cutter.events());
+        fleet_event!(Event::StreamCut, "request={id} events={events} ms={} reason={reason:?}", self.ending.millis());
+        self.ending.end("cut");
+        Step::Cut(Refusal { code, run: Run::Ran, retry: None, detail: reason.to_owned() })
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/requests.rs
@@ -0,0 +1,208 @@
+//! Requests for whole answers: what is sent again, what is refused as not run, and what ends at once.
+
+use std::time::Duration;
+
+use coltsfootpick_core::refusal::{Code, Refusal, Run};
+use coltsfootpick_serving::answer::{Answer, AnswerBody};
+use coltsfootpick_testkit::fleet_rig::{Rig, request};
+use coltsfootpick_testkit::keyed_store::KeyedStore;
+use coltsfootpick_testkit::scripted_server::{Act, Script, ScriptedServer, answer};
+use test_case::test_case;
+use tokio::time::Instant;
+
+async fn rig(scripts: Vec<Script>) -> (Rig, Vec<ScriptedServer>) {
+    let mut servers = Vec::new();
+    for script in scripts {
+        servers.push(ScriptedServer::start(script).await);
+    }
+    let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+    (Rig::start("edge-a", &KeyedStore::default(), &addresses), servers)
+}
+
+async fn call(rig: &Rig, route: &str) -> Answer {
+    rig.path.serve(request(route)).await
+}
+
+fn sent(servers: &[ScriptedServer]) -> usize {
+    servers.iter().map(|server| server.seen().requests.len()).sum()
+}
+
+#[track_caller]
+fn refused(answer: Answer) -> Refusal {
+    match answer {
+        Answer::Refused(refusal) => refusal,
+        other @ Answer::Relayed(..) => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+#[track_caller]
+fn relayed(answer: Answer) -> (u16, String) {
+    match answer {
+        Answer::Relayed(head, AnswerBody::Whole(body)) => {
+            (head.status.as_u16(), String::from_utf8_lossy(&body).into_owned())
+        }
+        other => panic!("expected a whole answer, got {other:?}"),
+    }
+}
+
+fn rejects() -> Script {
+    vec![vec![answer(503, "x-not-run: 1\r\n", "")]]
+}
+
+#[tokio::test]
+async fn whole_answer() {
+    let (rig, servers) = rig(vec![vec![vec![answer(200, "", "done")]]]).await;
+    assert_eq!(relayed(call(&rig, "apply").await), (200, "done".to_owned()));
+    assert_eq!(relayed(call(&rig, "apply").await), (200, "done".to_owned()));
+    let seen = servers[0].seen();
+    assert_eq!((seen.requests.len(), seen.connections), (2, 1), "the connection is kept");
+    assert!(seen.requests[0].contains("x-server: a\r\n") && seen.requests[0].contains("x-account: clinic\r\n"));
+}
+
+#[tokio::test]
+async fn rejected_elsewhere() {
+    let (rig, servers) = rig(vec![rejects(), vec![vec![answer(200, "", "done")]]]).await;
+    assert_eq!(relayed(call(&rig, "read").await).0, 200);
+    assert!(sent(&servers) <= 2);
+}
+
+#[test_case("read", 2; "two attempts")]
+#[test_case("apply", 1; "one attempt")]
+#[tokio::test]
+async fn rejected_everywhere(route: &str, attempts: usize) {
+    let (rig, servers) = rig(vec![rejects(), rejects(), rejects()]).await;
+    let refusal = refused(call(&rig, route).await);
+    assert_eq!((refusal.run, refusal.code), (Run::NotRun, Code::NoBackendServer));
+    assert!(refusal.retry.is_some(), "the caller learns when to come back");
+    assert_eq!(sent(&servers), attempts);
+}
+
+#[test_case(Act::Close; "closed")]
+#[test_case(Act::Reset; "reset")]
+#[test_case(Act::Write("nonsense\r\n\r\n".to_owned()); "no answer in the protocol")]
+#[test_case(Act::Write("HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 2\r\n\r\nno".to_owned()); "another id")]
+#[test_case(Act::Write("HTTP/1.1 200 OK\r\nx-id: $ID\r\ncontent-length: 9\r\n\r\ncut".to_owned()); "cut body")]
+#[tokio::test]
+async fn lost_answer(act: Act) {
+    let script: Script = vec![vec![act, Act::Close]];
+    let (rig, servers) = rig(vec![script.clone(), script]).await;
+    let refusal = refused(call(&rig, "apply").await);
+    assert_eq!((refusal.run, refusal.code), (Run::MayHaveRun, Code::BackendFailed));
+    assert_eq!(sent(&servers), 1, "what may have run is not sent again");
+}
+
+#[tokio::test]
+async fn idempotent_again() {
+    let (rig, servers) = rig(vec![
+        vec![vec![Act::Close], vec![answer(200, "", "a")]],
+        vec![vec![Act::Close], vec![answer(200, "", "b")]],
+    ])
+    .await;
+    let first = refused(call(&rig, "read").await);
+    assert_eq!(first.run, Run::MayHaveRun);
+    assert_eq!(sent(&servers), 2, "the route allows two servers");
+}
+
+#[tokio::test]
+async fn failure_again() {
+    let (rig, servers) = rig(vec![vec![vec![answer(500, "", "bad")]], vec![vec![answer(500, "", "bad")]]]).await;
+    assert_eq!(relayed(call(&rig, "read").await), (500, "bad".to_owned()), "the last failure is handed on");
+    assert_eq!(sent(&servers), 2);
+    assert_eq!(relayed(call(&rig, "apply").await).0, 500);
+    assert_eq!(sent(&servers), 3, "what must not repeat is not sent again");
+}
+
+#[tokio::test]
+async fn other_server() {
+    let (rig, servers) = rig(vec![vec![vec![answer(421, "", "")]], vec![vec![answer(200, "", "done")]]]).await;
+    assert_eq!(relayed(call(&rig, "apply").await).0, 200, "421 proves that it did not run");
+    assert_eq!(relayed(call(&rig, "apply").await).0, 200);
+    let misdirected = servers[0].seen().requests.len();
+    assert!(misdirected <= 1, "the address was asked again {misdirected} times");
+}
+
+#[tokio::test]
+async fn nobody_listens() {
+    let (rig, servers) = rig(vec![vec![vec![answer(200, "", "done")]]]).await;
+    let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    rig.path.board.servers.put(coltsfootpick_testkit::fleet_rig::entry("0", free));
+    assert_eq!(relayed(call(&rig, "apply").await).0, 200, "what was not sent goes to another server");
+    assert_eq!(sent(&servers), 1);
+}
+
+#[tokio::test]
+async fn extra_answer() {
+    let extra = Act::Write("HTTP/1.1 200 OK\r\nx-id: $ID\r\ncontent-length: 5\r\n\r\nextra".to_owned());
+    let (rig, servers) = rig(vec![vec![vec![answer(200, "", "one"), extra], vec![answer(200, "", "two")]]]).await;
+    assert_eq!(relayed(call(&rig, "apply").await).1, "one");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(relayed(call(&rig, "apply").await).1, "two");
+    assert_eq!(servers[0].seen().connections, 2, "a connection with bytes of no request is not used again");
+}
+
+#[tokio::test]
+async fn silent_server() {
+    let (rig, servers) = rig(vec![vec![vec![Act::Wait(Duration::from_secs(30))]]]).await;
+    let before = Instant::now();
+    let refusal = refused(call(&rig, "apply").await);
+    assert_eq!((refusal.run, refusal.code), (Run::MayHaveRun, Code::DeadlinePassed));
+    let waited = before.elapsed();
+    assert!(waited >= Duration::from_millis(1_200) && waited < Duration::from_millis(1_700), "{waited:?}");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(servers[0].seen().closed, 1, "the server is told to stop");
+}
+
+#[tokio::test]
+async fn caller_leaves() {
+    let (rig, servers) = rig(vec![vec![vec![Act::Wait(Duration::from_secs(30))]]]).await;
+    let left = tokio::time::timeout(Duration::from_millis(200), call(&rig, "apply")).await;
+    assert!(left.is_err());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(servers[0].seen().closed, 1, "the server is told to stop");
+    assert_eq!(rig.path.board.open(), 0);
+}
+
+#[tokio::test]
+async fn stopping_instance() {
+    let (rig, servers) = rig(vec![vec![vec![answer(200, "", "done")]]]).await;
+    rig.path.board.closing.cancel();
+    let refusal = refused(call(&rig, "apply").await);
+    assert_eq!((refusal.run, refusal.code), (Run::NotRun, Code::Draining));
+    assert_eq!(sent(&servers), 0, "a stopping instance passed a request on that it cannot end");
+}
+
+#[tokio::test]
+async fn leaving_server() {
+    let (rig, servers) = rig(vec![vec![vec![answer(200, "", "done")]]]).await;
+    let leaving = coltsfootpick_serving::servers::ServerEntry {
+        leaving: true,
+        ..coltsfootpick_testkit::fleet_rig::entry("a", servers[0].address)
+    };
+    rig.path.board.servers.put(leaving);
+    assert_eq!(refused(call(&rig, "apply").await).run, Run::NotRun);
+    assert_eq!(sent(&servers), 0);
+}
+
+#[test_case(|request| request.key = None, Code::Unauthorized; "no key")]
+#[test_case(|request| request.key = Some("stolen".into()), Code::Unauthorized; "unknown key")]
+#[test_case(|request| request.target = "/nowhere/x".into(), Code::UnknownService; "no route")]
+#[test_case(|request| request.host = "other".into(), Code::UnknownService; "unknown host")]
+#[tokio::test]
+async fn not_allowed(change: fn(&mut coltsfootpick_serving::request::CallerRequest), code: Code) {
+    let (rig, servers) = rig(vec![vec![vec![answer(200, "", "done")]]]).await;
+    let mut asked = request("apply");
+    change(&mut asked);
+    assert_eq!(refused(rig.path.serve(asked).await).code, code);
+    assert_eq!(sent(&servers), 0);
+}
+
+/// Repeats stay within the fleet's bound however many requests fail.
+#[tokio::test]
+async fn repeat_bound() {
+    let (rig, servers) = rig(vec![vec![vec![Act::Close]], vec![vec![Act::Close]]]).await;
+    for _ in 0..60 {
+        call(&rig, "read").await;
+    }
+    let repeats = sent(&servers).saturating_sub(60);
+    assert!(repeats <= 60 / 5 + 52 / 6, "{repeats} repeats of 60 requests");
+}
--- /dev/null
+++ b/crates/serving/tests/settings.rs
@@ -0,0 +1,26 @@
+//! Settings of the edge: every fault is named with its key, the value found and what is allowed.
+
+use coltsfootpick_serving::settings::Settings;
+use test_case::test_case;
+
+const SOUND: &str = "[instance]\nname = edge-a\nzone = tunis-a\nzones = tunis-a:tunis,sfax-a:sfax\ngrace-s = 8\n\
+[listen]\ncallers = 127.0.0.1:1\nready = 127.0.0.1:2\npeers = 127.0.0.1:3\n\
+[store]\naddress = 127.0.0.1:4\n[repeats]\nratio = 0.2\nslack = 52\n";
+
+#[test]
+fn sound_settings() {
+    let settings = Settings::parse(SOUND).unwrap();
+    assert_eq!((&*settings.identity.name, settings.places.len(), settings.identity.repeats.slack), ("edge-a", 2, 52));
+}
+
+#[test_case("zone = tunis-a", "zone = mars", "[instance] zone: found mars"; "zone")]
+#[test_case("grace-s = 8", "grace-s = soon", "[instance] grace-s: found \"soon\""; "grace")]
+#[test_case("address = 127.0.0.1:4", "address = here", "[store] address: found \"here\""; "address")]
+#[test_case("callers = 127.0.0.1:1\n", "", "[listen] callers: found nothing"; "missing")]
+#[test_case("slack = 52", "slack = 52\nslak = 1", "[repeats] slak: found an unknown key"; "unknown key")]
+#[test_case("[repeats]", "[repeat]", "[repeat]"; "unknown section")]
+fn faulty_settings(sound: &str, faulty: &str, expected: &str) {
+    let faults = Settings::parse(&SOUND.replace(sound, faulty)).unwrap_err();
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert!(lines.iter().any(|line| line.contains(expected)), "{lines:?}");
+}
--- /dev/null
+++ b/crates/testkit/src/fleet_dialect.rs
@@ -0,0 +1,86 @@
+//! Plain dialect of the request path's borders, for tests that need none of a platform's names.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootpick_core::names::{AvailabilityZoneName, RegionName};
+use coltsfootpick_core::routes::{CallerLimits, RouteTable};
+use coltsfootpick_core::spread::Place;
+use coltsfootpick_serving::borders::{BackendDialect, DecodeError, HeadMeaning, KeyedRecord, RecordDialect, Sending};
+use coltsfootpick_serving::request::CallerRequest;
+use coltsfootpick_serving::servers::ServerEntry;
+use http::response::Parts;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+/// The dialect: headers `x-id`, `x-server`, `x-left`, `x-account` and `x-resumes`; `x-not-run` on an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlainDialect;
+
+impl BackendDialect for PlainDialect {
+    fn encode(&self, request: &CallerRequest, sending: &Sending<'_>) -> Request<Full<Bytes>> {
+        let builder = Request::builder()
+            .method(request.method.clone())
+            .uri(&*request.target)
+            .header("host", &*request.host)
+            .header("x-id", &*request.id)
+            .header("x-server", &*sending.server.name)
+            .header("x-left", sending.left.as_millis().to_string())
+            .header("x-account", sending.account.map_or("", |name| name))
+            .header("x-resumes", sending.resumes.unwrap_or_default());
+        builder.body(Full::new(request.body.clone())).expect("the parts form a request")
+    }
+
+    fn read_head(&self, request: &CallerRequest, head: &Parts) -> HeadMeaning {
+        let is_ours = head.headers.get("x-id").is_some_and(|id| id.as_bytes() == request.id.as_bytes());
+        match head.status {
+            StatusCode::MISDIRECTED_REQUEST => HeadMeaning::OtherServer,
+            _ if head.headers.contains_key("x-not-run") => HeadMeaning::NotRun,
+            _ if !is_ours => HeadMeaning::Unusable("another id"),
+            _ => HeadMeaning::Answer,
+        }
+    }
+
+    fn idle_time(&self, _head: &Parts) -> Option<Duration> {
+        None
+    }
+}
+
+impl RecordDialect for PlainDialect {
+    /// A document is its version as a number.
+    fn document(&self, record: &KeyedRecord) -> Result<Option<RouteTable>, DecodeError> {
+        let text = text_of(record)?;
+        let version = text.parse().map_err(|error| DecodeError { reason: format!("version {text:?}: {error}") })?;
+        Ok(Some(RouteTable::new(version, CallerLimits { body_bytes: 1 << 20, idle: Duration::from_secs(15) })))
+    }
+
+    /// An entry is `SERVICE ADDRESS STATE BORN`.
+    fn server(&self, record: &KeyedRecord) -> Result<ServerEntry, DecodeError> {
+        let text = text_of(record)?;
+        let words: Vec<&str> = text.split(' ').collect();
+        let [service, address, state, born] = words[..] else {
+            return Err(DecodeError { reason: format!("entry {text:?}") });
+        };
+        Ok(ServerEntry {
+            name: (&*record.key).into(),
+            service: service.into(),
+            address: address
+                .parse()
+                .map_err(|error| DecodeError { reason: format!("address {address:?}: {error}") })?,
+            place: home(),
+            slots: 8,
+            leaving: state == "leaving",
+            born: born.parse().ok(),
+        })
+    }
+}
+
+fn text_of(record: &KeyedRecord) -> Result<&str, DecodeError> {
+    let bytes = record.value.as_deref().unwrap_or_default();
+    std::str::from_utf8(bytes).map_err(|error| DecodeError { reason: error.to_string() })
+}
+
+/// Where everything stands.
+pub fn home() -> Place {
+    Place { zone: AvailabilityZoneName::from("tunis-a"), region: RegionName::from("tunis") }
+}
--- /dev/null
+++ b/crates/testkit/src/fleet_rig.rs
@@ -0,0 +1,132 @@
+//! One instance's request path over a store in memory and scripted servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootpick_core::ceilings::CeilingPolicy;
+use coltsfootpick_core::routes::{Account, CallerLimits, EngineSpec, Repeat, Route, RouteTable, ServiceSpec};
+use coltsfootpick_core::spread::Generation;
+use coltsfootpick_core::units::Tokens;
+use coltsfootpick_serving::board::{Board, Identity, RepeatBound};
+use coltsfootpick_serving::keeper::CreditKeeper;
+use coltsfootpick_serving::path::RequestPath;
+use coltsfootpick_serving::request::CallerRequest;
+use coltsfootpick_serving::servers::ServerEntry;
+use http::Method;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::fleet_dialect::{PlainDialect, home};
+use crate::keyed_store::KeyedStore;
+
+/// Account of the rig.
+pub const ACCOUNT: &str = "clinic";
+
+/// What it paid for.
+pub const PREPAID: u64 = 1_000_000;
+
+/// One instance.
+#[derive(Debug)]
+pub struct Rig {
+    /// Its request path.
+    pub path: RequestPath,
+    /// Ends its tasks.
+    pub stop: CancellationToken,
+}
+
+/// Route `/NAME/` of the rig.
+pub fn route(name: &str, repeat: Repeat, streams: bool, attempts: u32) -> Route {
+    Route {
+        name: name.into(),
+        host: "host".into(),
+        prefix: format!("/{name}/").into(),
+        split: vec![("service".into(), 1)],
+        repeat,
+        streams,
+        timeout: Duration::from_millis(1_200),
+        objective: Duration::from_millis(200),
+        rank: 1,
+        attempts,
+        public: false,
+    }
+}
+
+/// Table with the routes `read` (idempotent), `apply` (once), `ask` (stream, once) and `explain` (stream, resumable).
+pub fn table(version: u64, prepaid: u64) -> RouteTable {
+    let mut table = RouteTable::new(version, CallerLimits { body_bytes: 1 << 20, idle: Duration::from_secs(15) });
+    table.add_route(route("read", Repeat::Idempotent, false, 2));
+    table.add_route(route("apply", Repeat::Once, false, 1));
+    table.add_route(route("ask", Repeat::Once, true, 1));
+    table.add_route(route("explain", Repeat::Resumable, true, 2));
+    let engines = Some(EngineSpec { slots: 8, memory: Tokens(100_000), stride: 5 });
+    table.add_service(ServiceSpec { name: "service".into(), connections: 600, engines });
+    let account = Account { name: ACCOUNT.into(), rank: None, prepaid: Some(Tokens(prepaid)) };
+    table.add_account(account, [Arc::from("key")]);
+    table
+}
+
+impl Rig {
+    /// Instance `name` over `store`, with servers `a`, `b` and so on at `servers`.
+    pub fn start(name: &str, store: &KeyedStore, servers: &[SocketAddr]) -> Self {
+        let identity = Identity { name: name.into(), place: home(), repeats: RepeatBound { ratio: 0.2, slack: 52 } };
+        let board = Board::new(identity);
+        board.put_table(table(1, PREPAID));
+        for (address, letter) in servers.iter().zip('a'..) {
+            board.servers.put(entry(&letter.to_string(), *address));
+        }
+        board.mark_listed();
+        let holder: Arc<str> = format!("{name}/{:x}", rand::random::<u32>()).into();
+        let policy = CeilingPolicy::default();
+        let keeper = CreditKeeper::new(Arc::clone(&board), Arc::new(store.clone()), holder, policy);
+        let stop = CancellationToken::new();
+        tokio::spawn(Arc::clone(&keeper).run(stop.clone()));
+        Self { path: RequestPath { board, keeper, dialect: Arc::new(PlainDialect) }, stop }
+    }
+
+    /// Waits until the account has room.
+    pub async fn ready(&self) {
+        let has_room = || !self.path.keeper.view(&ACCOUNT.into()).2.is_zero();
+        for _ in 0..200 {
+            if has_room() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the instance got no credit");
+    }
+}
+
+/// Entry of a server of the rig's service.
+pub fn entry(name: &str, address: SocketAddr) -> ServerEntry {
+    ServerEntry {
+        name: name.into(),
+        service: "service".into(),
+        address,
+        place: home(),
+        slots: 8,
+        leaving: false,
+        born: Some(1),
+    }
+}
+
+/// Request for `/ROUTE/x` with the rig's key, and a generation on the routes that stream.
+pub fn request(route: &str) -> CallerRequest {
+    let generation = matches!(route, "ask" | "explain").then(|| Generation {
+        prompt: Tokens(100),
+        output: Tokens(50),
+        chain: Vec::new(),
+    });
+    CallerRequest {
+        id: format!("id-{:x}", rand::random::<u64>()).into(),
+        method: Method::POST,
+        host: "host".into(),
+        target: format!("/{route}/x").into(),
+        headers: http::HeaderMap::new(),
+        body: bytes::Bytes::from_static(b"body"),
+        key: Some("key".into()),
+        deadline: Some(Duration::from_secs(3)),
+        generation,
+        arrived: Instant::now(),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/scripted_server.rs
@@ -0,0 +1,160 @@
+//! Backend server that answers each request with scripted bytes and remembers what it read.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the server does with one request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Writes bytes, in which `$ID` stands for the request's id.
+    Write(String),
+    /// Waits.
+    Wait(Duration),
+    /// Closes the connection.
+    Close,
+    /// Closes the connection with a reset.
+    Reset,
+}
+
+/// Acts for each request in turn; the last one repeats.
+pub type Script = Vec<Vec<Act>>;
+
+/// What was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Requests read, head and body.
+    pub requests: Vec<String>,
+    /// Connections accepted.
+    pub connections: usize,
+    /// Connections that the other end closed.
+    pub closed: usize,
+}
+
+/// The server.
+#[derive(Debug)]
+pub struct ScriptedServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl ScriptedServer {
+    /// Starts a server.
+    pub async fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let seen = Arc::<Mutex<Seen>>::default();
+        tokio::spawn(accept(listener, Arc::new(script), Arc::clone(&seen)));
+        Self { address, seen }
+    }
+
+    /// What was seen so far.
+    pub fn seen(&self) -> Seen {
+        self.seen.lock().clone()
+    }
+}
+
+/// Whole answer with a length.
+pub fn answer(status: u16, headers: &str, body: &str) -> Act {
+    let length = body.len();
+    Act::Write(format!("HTTP/1.1 {status} X\r\nx-id: $ID\r\n{headers}content-length: {length}\r\n\r\n{body}"))
+}
+
+/// Head of a streamed answer whose end is the connection's.
+pub fn stream_head() -> Act {
+    Act::Write(
+        "HTTP/1.1 200 OK\r\nx-id: $ID\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n".to_owned(),
+    )
+}
+
+/// Head of a chunked streamed answer.
+pub fn chunked_head() -> Act {
+    let head = "HTTP/1.1 200 OK\r\nx-id: $ID\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    Act::Write(head.to_owned())
+}
+
+/// One chunk.
+pub fn chunk(text: &str) -> Act {
+    Act::Write(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+/// One event.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+async fn accept(listener: TcpListener, script: Arc<Script>, seen: Arc<Mutex<Seen>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        seen.lock().connections += 1;
+        tokio::spawn(serve(stream, Arc::clone(&script), Arc::clone(&seen)));
+    }
+}
+
+async fn serve(mut stream: TcpStream, script: Arc<Script>, seen: Arc<Mutex<Seen>>) {
+    while let Some(request) = read_request(&mut stream).await {
+        let turn = {
+            let mut seen = seen.lock();
+            seen.requests.push(request.clone());
+            seen.requests.len() - 1
+        };
+        let id = header(&request, "x-id").unwrap_or_default();
+        for act in script.get(turn).or(script.last()).into_iter().flatten() {
+            match act {
+                Act::Write(text) => {
+                    if stream.write_all(text.replace("$ID", &id).as_bytes()).await.is_err() {
+                        seen.lock().closed += 1;
+                        return;
+                    }
+                }
+                Act::Wait(span) => {
+                    let mut byte = [0; 1];
+                    tokio::select! {
+                        () = tokio::time::sleep(*span) => {}
+                        read = stream.read(&mut byte) => {
+                            if !matches!(read, Ok(count) if count > 0) {
+                                seen.lock().closed += 1;
+                                return;
+                            }
+                        }
+                    }
+                }
+                Act::Close => return,
+                Act::Reset => {
+                    let _ = stream.set_zero_linger();
+                    return;
+                }
+            }
+        }
+    }
+    seen.lock().closed += 1;
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let head = text.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4);
+        if let Some(head) = head {
+            let request = String::from_utf8_lossy(&text).into_owned();
+            let length = header(&request, "content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+            if text.len() >= head + length {
+                return Some(request);
+            }
+        }
+        match stream.read(&mut buffer).await {
+            Ok(count) if count > 0 => text.extend_from_slice(&buffer[..count]),
+            _ => return None,
+        }
+    }
+}
+
+/// Value of a header in a request as read.
+pub fn header(request: &str, name: &str) -> Option<String> {
+    let lines = request.lines().filter_map(|line| line.split_once(": "));
+    lines.filter(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.to_owned()).next()
+}
