--- a/crates/serving/src/board.rs
+++ b/crates/serving/src/board.rs
@@ -1,7 +1,7 @@
 //! Blackboard of one instance: what its controllers write and the request path reads.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use coltsfootpick_core::names::ServiceName;
@@ -86,8 +86,10 @@
     pub metrics: Metrics,
     /// Cancelled once the instance takes no new connections.
     pub draining: CancellationToken,
-    /// Cancelled once the instance takes no new requests on open connections either.
+    /// Cancelled once the instance closes idle connections and takes only requests that end before it does.
     pub closing: CancellationToken,
+    /// When the instance cuts what is still open, once it was asked to stop.
+    pub ends: OnceLock<tokio::time::Instant>,
     table: RwLock<Option<Arc<RouteTable>>>,
     versions: watch::Sender<u64>,
     listed: AtomicBool,
@@ -107,6 +109,7 @@
             metrics: Metrics::default(),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
+            ends: OnceLock::new(),
             table: RwLock::default(),
             versions: watch::Sender::new(0),
             listed: AtomicBool::new(false),
@@ -149,6 +152,11 @@
         self.listed.load(Ordering::Acquire) && self.table.read().is_some() && !self.draining.is_cancelled()
     }
 
+    /// Whether a request that may take until `until` can end here.
+    pub fn can_end(&self, until: tokio::time::Instant) -> bool {
+        !self.closing.is_cancelled() || self.ends.get().is_some_and(|end| until <= *end)
+    }
+
     /// Number of instances, as far as this one knows.
     pub fn fleet(&self) -> usize {
         self.fleet.load(Ordering::Relaxed)
--- a/crates/serving/src/drain.rs
+++ b/crates/serving/src/drain.rs
@@ -26,6 +26,7 @@
 pub async fn wait_for_open(board: &Arc<Board>, grace: Duration) -> u64 {
     let asked = Instant::now();
     let until = asked + grace.saturating_sub(CLOSING_TIME);
+    let _ = board.ends.set(until);
     board.draining.cancel();
     tokio::time::sleep_until(until.min(asked + NOTICE_TIME)).await;
     board.closing.cancel();
--- a/crates/serving/src/path.rs
+++ b/crates/serving/src/path.rs
@@ -83,9 +83,6 @@
     }
 
     async fn accept(&self, request: CallerRequest) -> Result<Accepted, Refusal> {
-        if self.board.closing.is_cancelled() {
-            return Err(Refusal::not_run(Code::Draining, "the instance is stopping").retry_after(DRAINING_BACKOFF));
-        }
         let Some(table) = self.board.table() else {
             let refusal = Refusal::not_run(Code::NoBackendServer, "no document was read yet");
             return Err(refusal.retry_after(START_BACKOFF));
@@ -100,6 +97,9 @@
         };
         let span = request.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let until = request.arrived + span;
+        if !self.board.can_end(until) {
+            return Err(Refusal::not_run(Code::Draining, "the instance is stopping").retry_after(DRAINING_BACKOFF));
+        }
         let charge = self.reserve(&request, account.as_deref(), until).await?;
         let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
         let stride = engines.map_or(STRIDE_DEFAULT, |spec| spec.stride);
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -171,6 +171,19 @@
     assert_eq!(sent(&servers), 0, "a stopping instance passed a request on that it cannot end");
 }
 
+/// While too few instances are ready, the platform goes on sending to one that stops.
+#[tokio::test]
+async fn short_requests() {
+    let (rig, servers) = rig(vec![vec![vec![answer(200, "", "done")]]]).await;
+    let timeout = Duration::from_millis(1_200);
+    rig.path.board.ends.set(Instant::now() + timeout + Duration::from_millis(100)).unwrap();
+    rig.path.board.closing.cancel();
+    assert_eq!(relayed(call(&rig, "apply").await).0, 200, "it ends before the instance does");
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    assert_eq!(refused(call(&rig, "apply").await).code, Code::Draining);
+    assert_eq!(sent(&servers), 1);
+}
+
 #[tokio::test]
 async fn leaving_server() {
     let (rig, servers) = rig(vec![vec![vec![answer(200, "", "done")]]]).await;
