--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,4 +1,4 @@
-//! Borders to the platform: the append-only log and the instance list, over HTTP as in `docs/PLATFORM.md`.
+//! Borders to the platform: the append-only log and the instance list, over HTTP as in `docs/OWN-PLATFORM.md`.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod registry;
 
 pub mod board;
+pub mod counted_log;
 pub mod pool;
 pub mod servers;
 
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -24,6 +24,8 @@
     pub sends: Family<Label, Counter>,
     /// Calls to the store, by outcome.
     pub store: Family<Label, Counter>,
+    /// Time of calls to the store that do not wait for records.
+    pub store_latency: Histogram,
     /// Tokens settled.
     pub tokens: Counter,
     /// Time from arrival to the first byte of an answer.
@@ -40,6 +42,7 @@
             open: Gauge::default(),
             sends: Family::default(),
             store: Family::default(),
+            store_latency: Histogram::new(BUCKETS),
             tokens: Counter::default(),
             first: Histogram::new(BUCKETS),
             whole: Histogram::new(BUCKETS),
@@ -57,6 +60,8 @@
         registry.register("requests_open", "Requests under way", self.open.clone());
         registry.register("sends", "Sendings to backend servers, by outcome", self.sends.clone());
         registry.register("store_calls", "Calls to the store, by outcome", self.store.clone());
+        let store = self.store_latency.clone();
+        registry.register_with_unit("store_call", "Calls to the store that do not wait", Unit::Seconds, store);
         registry.register("settled_tokens", "Tokens settled", self.tokens.clone());
         let first = self.first.clone();
         registry.register_with_unit("first_byte", "From arrival to the answer's first byte", Unit::Seconds, first);
--- a/crates/serving/tests/following.rs
+++ b/crates/serving/tests/following.rs
@@ -15,7 +15,7 @@
 use test_case::test_case;
 use tokio_util::sync::CancellationToken;
 
-const PACE: FeedPace = FeedPace { wait: Duration::from_millis(1_000), gather: Duration::from_millis(50) };
+const PACE: FeedPace = FeedPace { wait: Duration::from_secs(1), gather: Duration::from_millis(50) };
 
 /// A little longer than a record takes to be read.
 const READ: Duration = Duration::from_millis(1_500);
--- a/crates/serving/tests/settings.rs
+++ b/crates/serving/tests/settings.rs
@@ -19,8 +19,8 @@
 #[test_case("callers = 127.0.0.1:1\n", "", "[listen] callers: found nothing"; "missing")]
 #[test_case("slack = 52", "slack = 52\nslak = 1", "[repeats] slak: found an unknown key"; "unknown key")]
 #[test_case("[repeats]", "[repeat]", "[repeat]"; "unknown section")]
-fn faulty_settings(sound: &str, faulty: &str, expected: &str) {
-    let faults = Settings::parse(&SOUND.replace(sound, faulty)).unwrap_err();
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+fn faulty_settings(sound: &str, changed: &str, expected: &str) {
+    let found = Settings::parse(&SOUND.replace(sound, changed)).unwrap_err();
+    let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
     assert!(lines.iter().any(|line| line.contains(expected)), "{lines:?}");
 }
--- a/crates/testkit/tests/proofs.rs
+++ b/crates/testkit/tests/proofs.rs
@@ -4,7 +4,7 @@
 
 const PAGE: &str = include_str!("../../../docs/PROOFS.md");
 
-const NAMES: [&str; 20] = [
+const NAMES: [&str; 33] = [
     "budget-never-exceeded",
     "billed-once",
     "whole-answer",
@@ -25,12 +25,26 @@
     "request-that-crashes",
     "silent-connection",
     "two-faults-at-once",
+    "MIXED",
+    "UNASKED",
+    "TWICE, REFUSED",
+    "DENIED, ROUTE",
+    "BUDGET (prepaid)",
+    "BUDGET (repeats)",
+    "BUDGET (crashing request)",
+    "GONE",
+    "LOST",
+    "CONFIG",
+    "DRAIN",
+    "ORDER",
+    "RECOVER",
 ];
 
-/// Cells of every row of the table.
+/// Cells of every row of the tables.
 fn rows() -> Vec<Vec<&'static str>> {
     let lines = PAGE.lines().filter(|line| line.starts_with("| ") && !line.starts_with("| ---"));
-    lines.skip(1).map(|line| line.trim_matches('|').split('|').map(str::trim).collect()).collect()
+    let cells = lines.map(|line| line.trim_matches('|').split('|').map(str::trim).collect::<Vec<_>>());
+    cells.filter(|row| row[0] != "point").collect()
 }
 
 /// Folder of a package, by its name.
@@ -48,7 +62,10 @@
         return false;
     };
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let path = root.join(format!("crates/{}/tests/{file}.rs", folder(package)));
+    let path = match *package {
+        "coltsfootpick-platform" => root.join(format!("platform/tests/{file}.rs")),
+        other => root.join(format!("crates/{}/tests/{file}.rs", folder(other))),
+    };
     std::fs::read_to_string(path).is_ok_and(|text| text.contains(&format!("fn {name}(")))
 }
 
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -1,6 +1,6 @@
 //! Bodies of the platform's HTTP interface: the append-only log, the instance list and model engines.
 //!
-//! The interface is described in `docs/PLATFORM.md`; the stand-in of the test kit serves the same.
+//! The interface is described in `docs/OWN-PLATFORM.md`; the stand-in of the test kit serves the same.
 
 use coltsfootpick_core::models::LoadedModel;
 use serde::{Deserialize, Serialize};
