--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -71,7 +71,7 @@
     /// Longest time that can have passed since this was written, told by several clocks.
     ///
     /// `clocks` holds the present time of day by instance. Clocks may jump, so the greatest of at least
-    /// [`CLOCKS_MIN`] measures counts; `None` when fewer are known.
+    /// three measures counts; `None` when fewer are known.
     pub fn age_at_most(&self, own: &str, clocks: &BTreeMap<Arc<str>, u64>) -> Option<Duration> {
         let stamps = self.witnesses.iter().map(|(name, stamp)| (&**name, *stamp)).chain([(own, self.stamp)]);
         let ages: Vec<u64> = stamps.filter_map(|(name, stamp)| Some(clocks.get(name)?.saturating_sub(stamp))).collect();
