Requests that crash backend servers are recognised and no longer sent

Change: after a break without an answer the server is asked for a connection; if it takes none it is lost to the request. Two lost servers quarantine it (core::quarantine, as in the daemon); suspects ride along with the credit records. Test: requests::crashing_request, fails when records tell of no suspects.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::names::ClientAccountName;
+use crate::quarantine::SuspectNews;
 use crate::sizing::Demand;
 use crate::units::{Instant, Offset, Tokens};
 
@@ -65,6 +66,8 @@
     pub stamp: u64,
     /// Stamps of other instances' records that were written before this one, by instance.
     pub witnesses: BTreeMap<Arc<str>, u64>,
+    /// Requests that the holder suspects of crashing backend servers; they ride along since every instance reads it.
+    pub suspects: Vec<SuspectNews>,
 }
 
 impl HolderRecord {
--- a/crates/serving/src/accepted.rs
+++ b/crates/serving/src/accepted.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use coltsfootpick_core::names::{BackendServerName, ServiceName};
+use coltsfootpick_core::quarantine::Fingerprint;
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::routes::{Account, Repeat, Route, RouteTable};
 use coltsfootpick_core::units::Tokens;
@@ -40,6 +41,8 @@
     pub account: Option<Arc<Account>>,
     /// Most tokens of one event.
     pub stride: u64,
+    /// Hash that recognises it when it comes again.
+    pub print: Fingerprint,
     /// Moment by which its answer must be whole.
     pub until: Instant,
     /// Tokens set aside.
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -28,6 +28,7 @@
 use crate::feed::read_newest;
 use crate::fleet_event;
 use crate::peers::{Lender, Peers};
+use crate::suspects::SUSPECTS_TOLD;
 
 /// Time between two records of one instance grows by this for each instance of a large fleet, so that all of them
 /// write some thirty times a second.
@@ -367,7 +368,7 @@
             self.note_reach(true, "");
             let mut records = self.ended_runs();
             let holder = self.holder();
-            records.extend(self.plan(announces).map(|record| (holder, record)));
+            records.extend(self.plan(announces).map(|record| (holder, self.tell_suspects(record))));
             if records.is_empty() {
                 self.renewed.send_modify(|count| *count += 1);
                 return Renewal::Done;
@@ -383,6 +384,13 @@
         Renewal::Moved
     }
 
+    fn tell_suspects(&self, record: HolderRecord) -> HolderRecord {
+        let mut suspects = self.board.quarantine.lock().news(self.board.clock.now());
+        suspects.sort_by_key(|news| std::cmp::Reverse(news.left));
+        suspects.truncate(SUSPECTS_TOLD);
+        HolderRecord { suspects, ..record }
+    }
+
     fn plan(&self, announces: bool) -> Option<HolderRecord> {
         let (now, table) = (self.board.clock.now(), self.board.table());
         let version = table.as_ref().map_or(0, |table| table.version());
@@ -411,7 +419,7 @@
         let now = self.board.clock.now();
         let mut book = self.book.lock();
         for record in records {
-            apply(&mut book, record, now);
+            self.apply(&mut book, record, now);
         }
         book.advance(next);
         let mut purses = self.purses.lock();
@@ -421,6 +429,18 @@
         Ok(())
     }
 
+    fn apply(&self, book: &mut CreditBook, record: KeyedRecord, now: coltsfootpick_core::units::Instant) {
+        let Some(value) = record.value else { return };
+        match HolderMessage::decode(value) {
+            Ok(message) => {
+                let decoded = HolderRecord::from(message);
+                self.board.quarantine.lock().take_news(decoded.suspects.clone(), now);
+                book.apply(&record.key, decoded, now);
+            }
+            Err(error) => fleet_event!(Event::RecordSkipped, "topic=credit key={:?} reason={error}", record.key),
+        }
+    }
+
     /// Writes records of this run, or of runs before it, where the log was read to.
     async fn write(&self, records: Vec<(Arc<str>, HolderRecord)>) -> Renewal {
         let at = self.book.lock().next();
@@ -539,14 +559,6 @@
     }
 }
 
-fn apply(book: &mut CreditBook, record: KeyedRecord, now: coltsfootpick_core::units::Instant) {
-    let Some(value) = record.value else { return };
-    match HolderMessage::decode(value) {
-        Ok(message) => book.apply(&record.key, message.into(), now),
-        Err(error) => fleet_event!(Event::RecordSkipped, "topic=credit key={:?} reason={error}", record.key),
-    }
-}
-
 fn describe(record: &HolderRecord, end: Offset) -> String {
     let holdings = record.holdings.iter().map(|(account, holding)| {
         let Holding { settled, ceiling, reserve } = holding;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod keeper;
 pub mod peers;
+pub mod suspects;
 
 pub mod document;
 pub mod feed;
--- a/crates/serving/src/path.rs
+++ b/crates/serving/src/path.rs
@@ -24,6 +24,7 @@
 use crate::relay;
 use crate::request::CallerRequest;
 use crate::servers::Server;
+use crate::suspects;
 
 /// When a request that found no server should come back.
 const SERVER_BACKOFF: Duration = Duration::from_millis(400);
@@ -100,12 +101,14 @@
         if !self.board.can_end(until) {
             return Err(Refusal::not_run(Code::Draining, "the instance is stopping").retry_after(DRAINING_BACKOFF));
         }
+        let print = suspects::fingerprint(&request, account.as_ref().map(|account| &account.name), &service);
+        suspects::check(&self.board, print)?;
         let charge = self.reserve(&request, account.as_deref(), until).await?;
         let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
         let stride = engines.map_or(STRIDE_DEFAULT, |spec| spec.stride);
         let tried = Vec::new();
         let (sends, has_run) = (0, false);
-        Ok(Accepted { request, route, service, account, stride, until, charge, tried, sends, has_run })
+        Ok(Accepted { request, route, service, account, stride, print, until, charge, tried, sends, has_run })
     }
 
     async fn reserve(
@@ -230,13 +233,16 @@
     }
 
     /// Notes what a failed sending tells of its server.
-    pub fn note_send_error(&self, accepted: &Accepted, server: &Server, error: &SendError) {
+    pub fn note_send_error(&self, accepted: &Accepted, server: &Arc<Server>, error: &SendError) {
         let (id, name) = (&accepted.request.id, &server.entry.name);
         fleet_event!(Event::SendFailed, "request={id} server={name} error=\"{error}\" run={}", accepted.has_run);
         match error {
             SendError::OtherServer => server.leave(),
             SendError::Rejected | SendError::Late => {}
             SendError::NotSent(_) | SendError::Unknown(_) => {
+                if let SendError::Unknown(_) = error {
+                    suspects::look_after(&self.board, server, accepted.print);
+                }
                 let now = self.board.clock.now();
                 let until = server.load.lock().note_failure(now);
                 fleet_event!(Event::ServerRests, "server={name} rest_ms={}", until.since(now).as_millis());
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -209,6 +209,30 @@
     assert_eq!(sent(&servers), 0);
 }
 
+/// A server that crashes takes no connection after it broke off; one that lost its answer does.
+#[tokio::test]
+async fn crashing_request() {
+    let store = KeyedStore::default();
+    let mut rigs = Vec::new();
+    for name in ["edge-a", "edge-b", "edge-c"] {
+        rigs.push(Rig::start(name, &store, &[]));
+    }
+    for (rig, server) in rigs.iter().zip(["a", "b"]) {
+        let crashing = ScriptedServer::start_crashing().await;
+        rig.path.board.servers.put(coltsfootpick_testkit::fleet_rig::entry(server, crashing.address));
+        assert_eq!(refused(call(rig, "apply").await).run, Run::MayHaveRun);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let sound = ScriptedServer::start(vec![vec![answer(200, "", "done")]]).await;
+    rigs[2].path.board.servers.put(coltsfootpick_testkit::fleet_rig::entry("c", sound.address));
+    let refusal = refused(call(&rigs[2], "apply").await);
+    assert_eq!((refusal.code, refusal.run), (Code::Quarantined, Run::NotRun), "an instance that never sent it knows");
+    assert!(sound.seen().requests.is_empty());
+    let mut other = request("apply");
+    other.body = bytes::Bytes::from_static(b"another body");
+    assert_eq!(relayed(rigs[2].path.serve(other).await).0, 200);
+}
+
 /// Repeats stay within the fleet's bound however many requests fail.
 #[tokio::test]
 async fn repeat_bound() {
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -53,6 +53,20 @@
         Self { address, seen }
     }
 
+    /// Starts a server that ends with its first request, and takes no connection after it.
+    pub async fn start_crashing() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let seen = Arc::<Mutex<Seen>>::default();
+        tokio::spawn(async move {
+            if let Ok((mut stream, _)) = listener.accept().await {
+                drop(listener);
+                let _ = read_request(&mut stream).await;
+            }
+        });
+        Self { address, seen }
+    }
+
     /// What was seen so far.
     pub fn seen(&self) -> Seen {
         self.seen.lock().clone()
--- a/crates/wire/src/ceilings.rs
+++ b/crates/wire/src/ceilings.rs
@@ -1,9 +1,11 @@
 //! Encoded record of a holder's ceilings, the newest of which the store keeps for each holder.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfootpick_core::ceilings::{HolderRecord, Holding};
 use coltsfootpick_core::names::ClientAccountName;
+use coltsfootpick_core::quarantine::{Fingerprint, Loss, SuspectNews};
 use coltsfootpick_core::units::Tokens;
 use prost::Message;
 
@@ -53,6 +55,70 @@
     /// Stamps of others that were written before.
     #[prost(message, repeated, tag = "5")]
     pub witnesses: Vec<WitnessMessage>,
+    /// Suspects.
+    #[prost(message, repeated, tag = "6")]
+    pub suspects: Vec<SuspectMessage>,
+}
+
+/// Request suspected of crashing backend servers.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SuspectMessage {
+    /// Fingerprint.
+    #[prost(bytes = "vec", tag = "1")]
+    pub print: Vec<u8>,
+    /// Losses while it ran.
+    #[prost(message, repeated, tag = "2")]
+    pub lost: Vec<LossMessage>,
+    /// Losses that it is excused for.
+    #[prost(message, repeated, tag = "3")]
+    pub excused: Vec<LossMessage>,
+    /// Milliseconds until the suspicion ends.
+    #[prost(uint64, tag = "4")]
+    pub left: u64,
+}
+
+/// Loss of a server.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LossMessage {
+    /// Server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Number of the loss.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+
+impl From<&Loss> for LossMessage {
+    fn from(loss: &Loss) -> Self {
+        Self { server: loss.server.to_string(), number: loss.number }
+    }
+}
+
+impl From<LossMessage> for Loss {
+    fn from(message: LossMessage) -> Self {
+        Self { server: message.server.into(), number: message.number }
+    }
+}
+
+impl From<&SuspectNews> for SuspectMessage {
+    fn from(news: &SuspectNews) -> Self {
+        Self {
+            print: news.print.0.to_vec(),
+            lost: news.lost.iter().map(Into::into).collect(),
+            excused: news.excused.iter().map(Into::into).collect(),
+            left: u64::try_from(news.left.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+/// News of a suspect; none when the fingerprint has another length than this version's.
+fn read_suspect(message: SuspectMessage) -> Option<SuspectNews> {
+    Some(SuspectNews {
+        print: Fingerprint(message.print.try_into().ok()?),
+        lost: message.lost.into_iter().map(Into::into).collect(),
+        excused: message.excused.into_iter().map(Into::into).collect(),
+        left: Duration::from_millis(message.left),
+    })
 }
 
 impl From<&HolderRecord> for HolderMessage {
@@ -71,6 +137,7 @@
             closed: record.closed,
             stamp: record.stamp,
             witnesses: record.witnesses.iter().map(witness).collect(),
+            suspects: record.suspects.iter().map(Into::into).collect(),
         }
     }
 }
@@ -91,6 +158,7 @@
             closed: message.closed,
             stamp: message.stamp,
             witnesses: message.witnesses.into_iter().map(|entry| (entry.instance.into(), entry.stamp)).collect(),
+            suspects: message.suspects.into_iter().filter_map(read_suspect).collect(),
         }
     }
 }
