--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -13,6 +13,7 @@
 use crate::quarantine::SuspectNews;
 use crate::sizing::Demand;
 use crate::units::{Instant, Offset, Tokens};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// What the log keeps of one holder and account.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -50,6 +51,12 @@
 /// Time after which a holder's record no longer tells what its clock shows.
 const WITNESS_AGE: Duration = Duration::from_millis(1_500);
 
+/// Instances that hold room of one account in a fleet of more than [`ALL_HOLD`].
+const HOLDERS_MAX: usize = 8;
+
+/// Instances up to which each holds room of every account.
+const ALL_HOLD: usize = 10;
+
 /// Other holders whose clocks a record names.
 const WITNESSES_MAX: usize = 8;
 
@@ -189,6 +196,22 @@
         others.filter(|(_, heard)| !heard.record.closed && now.since(heard.at) <= silence).count()
     }
 
+    /// Whether `own` is one of the instances that hold room of `account`; the others borrow it.
+    ///
+    /// In a large fleet room that is spread over all instances covers no single request, and all of them write.
+    pub fn holds(&self, own: &str, account: &ClientAccountName, now: Instant, silence: Duration) -> bool {
+        let is_alive = |heard: &Heard| !heard.record.closed && now.since(heard.at) <= silence;
+        let others = self.holders.iter().filter(|(name, heard)| &***name != own && is_alive(heard));
+        let weight = |name: &str| xxh3_64(format!("{account}\n{}", instance_of(name)).as_bytes());
+        let own_weight = weight(own);
+        let (mut fleet, mut before) = (1, 0);
+        for (name, _) in others {
+            fleet += 1;
+            before += usize::from(weight(name) > own_weight);
+        }
+        fleet <= ALL_HOLD || before < HOLDERS_MAX
+    }
+
     /// Whether no holder has any ceiling yet, as when the whole fleet starts for the first time.
     pub fn is_young(&self) -> bool {
         self.holders.values().all(|heard| heard.record.holdings.is_empty())
@@ -239,7 +262,7 @@
 const PERCENT: u64 = 100;
 
 /// A ceiling is raised once less than this many hundredths of its aimed room are left.
-const RAISE_BELOW: u64 = 60;
+const RAISE_BELOW: u64 = 50;
 
 /// A ceiling is lowered once more than this many hundredths of its aimed room are left.
 const LOWER_ABOVE: u64 = 200;
@@ -429,12 +452,16 @@
         let mut is_due = force;
         let witnesses = book.witnesses(&self.holder, now);
         let mut record = HolderRecord { document, stamp, witnesses, ..HolderRecord::default() };
-        let fleet = book.alive(&self.holder, now, self.policy.silence) as u64 + 1;
+        let alive = book.alive(&self.holder, now, self.policy.silence) + 1;
+        let fleet = if alive <= ALL_HOLD { alive } else { HOLDERS_MAX } as u64;
         for (account, prepaid) in accounts {
             let others = book.others(&self.holder, account, now, self.policy.silence);
             let purse = self.accounts.entry(account.clone()).or_default();
             purse.seen = others.seen;
-            let room = AimedRoom::new(&self.policy, purse, others, prepaid, fleet, now);
+            let room = match book.holds(&self.holder, account, now, self.policy.silence) {
+                true => AimedRoom::new(&self.policy, purse, others, prepaid, fleet, now),
+                false => AimedRoom::default(),
+            };
             let (aim, total) = (room.base.max(purse.wanted), room.total.max(purse.wanted));
             let most = prepaid.less(others.ceiling).max(purse.taken());
             // A holder behind the others' document does not know what was paid for and must not raise.
@@ -444,7 +471,8 @@
             let reserve = total.less(aim).min(most.less(ceiling));
             let room = purse.room(false).0;
             let raises = ceiling > purse.ceiling && (room < aim.0 / PERCENT * RAISE_BELOW || !purse.wanted.is_zero());
-            let lowers = purse.ceiling > most || room > aim.0 / PERCENT * LOWER_ABOVE + PERCENT;
+            let lowers =
+                ceiling < purse.ceiling && (purse.ceiling > most || room > aim.0 / PERCENT * LOWER_ABOVE + PERCENT);
             is_due |= raises || lowers;
             record.holdings.insert(account.clone(), Holding { ceiling, settled: purse.used, reserve });
         }
@@ -535,6 +563,7 @@
 }
 
 /// Room that a holder aims to have above what it took.
+#[derive(Clone, Copy, Debug, Default)]
 struct AimedRoom {
     /// Below its ceiling.
     base: Tokens,
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -468,3 +468,17 @@
     let ended = world.runs[0].as_mut().unwrap().purses.close(1);
     assert!(!ended.holdings[&account()].ceiling.is_zero(), "the giver's ceiling no longer covers what it lent");
 }
+
+/// Borrowed room is no reason to write: nothing of this holder's own ceiling can be lowered.
+#[test]
+fn borrowed_room() {
+    let mut world = settled();
+    let run = world.runs[0].as_mut().unwrap();
+    run.purses.borrow(&account(), Tokens(PREPAID / 2));
+    let (name, prepaid, account) = (Arc::clone(&run.name), Tokens(PREPAID), account());
+    let first = run.purses.plan(&run.book, 1, [(&account, prepaid)], world.now, 1, true).unwrap();
+    run.book.apply(&name, first.clone(), world.now);
+    run.purses.confirm(&first);
+    let second = run.purses.plan(&run.book, 1, [(&account, prepaid)], world.now, 1, false);
+    assert_eq!(second, None);
+}
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::board::Board;
 use crate::borders::{KeyedLog, KeyedRecord, StoreError, Topic};
@@ -30,9 +31,12 @@
 use crate::peers::{Lender, Peers};
 use crate::suspects::SUSPECTS_TOLD;
 
-/// Time between two records of one instance grows by this for each instance of a large fleet, so that all of them
-/// write some thirty times a second.
-const WRITE_STEP: Duration = Duration::from_millis(30);
+/// Instances up to which records are written often enough to prove reserves unused.
+const STAMPED_MAX: usize = 15;
+
+/// Time between two records of an instance in a larger fleet, where nothing else asks for one; a run is believed to live
+/// for 20 s after its last.
+const WRITE_SELDOM: Duration = Duration::from_secs(8);
 
 /// Least time between two renewals, so that requests that wait together share one.
 const RENEW_GAP: Duration = Duration::from_millis(40);
@@ -172,12 +176,14 @@
                 ReserveOutcome::Short => {}
             }
             waiting.get_or_insert_with(|| Waiting::new(self, account, bound));
-            self.wanted.notify_one();
             let is_asked = self.ask_next(account, bound, &mut asked);
+            if !is_asked || self.holds(account) {
+                self.wanted.notify_one();
+            }
             if !is_asked && !self.reachable.load(Ordering::Relaxed) {
                 return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(STORE_BACKOFF));
             }
-            if !is_asked && self.needs_peers(account, bound) {
+            if !is_asked && self.is_held(account, bound) {
                 return Err(self.refusal(Code::CreditUnavailable, account, bound).retry_after(DOUBT_BACKOFF));
             }
             let wait = if is_asked { until.min(Instant::now() + PEER_WAIT) } else { until };
@@ -195,7 +201,12 @@
         }
         let (now, awake) = (Instant::now(), self.peers.awake());
         let holder = self.holder();
-        let rooms = self.book.lock().rooms(&holder, account);
+        let mut rooms = self.book.lock().rooms(&holder, account);
+        let known = rooms.iter().take_while(|(_, room)| *room >= bound).count();
+        if known > 0 {
+            // Instances that read the same records ask different holders.
+            rooms[..known].rotate_left(usize::try_from(xxh3_64(holder.as_bytes()) % known as u64).unwrap_or_default());
+        }
         let poor = self.poor.lock();
         let is_poor =
             |peer: &Arc<str>| poor.get(&(Arc::clone(peer), account.clone())).is_some_and(|until| *until > now);
@@ -210,11 +221,23 @@
         true
     }
 
-    /// Whether a higher ceiling cannot come from the store: it does not answer, or others hold what is left.
+    /// Whether this instance is one of those that hold room of `account`.
+    fn holds(&self, account: &ClientAccountName) -> bool {
+        let holder = self.holder();
+        self.book.lock().holds(&holder, account, self.board.clock.now(), self.policy.silence)
+    }
+
+    /// Whether a higher ceiling should not come from the store: others hold the account, or what is left of it, or the
+    /// store does not answer.
     fn needs_peers(&self, account: &ClientAccountName, bound: Tokens) -> bool {
-        if !self.reachable.load(Ordering::Relaxed) {
+        if !self.reachable.load(Ordering::Relaxed) || !self.holds(account) {
             return true;
         }
+        self.is_held(account, bound)
+    }
+
+    /// Whether the store has no room for `bound` tokens below what the account paid for.
+    fn is_held(&self, account: &ClientAccountName, bound: Tokens) -> bool {
         let Some(table) = self.board.table() else { return false };
         let prepaid = table.account(account).and_then(|account| account.prepaid).unwrap_or_default();
         let holder = self.holder();
@@ -274,7 +297,7 @@
         loop {
             let pause = match self.renew(false).await {
                 Renewal::Done if self.has_dead_runs() => CLOCKS_EVERY,
-                Renewal::Done => self.write_every(),
+                Renewal::Done => WRITE_EVERY,
                 Renewal::Moved => RENEW_GAP,
                 Renewal::Lost => LOST_PAUSE,
             };
@@ -294,7 +317,7 @@
 
     /// Time between two records when nothing else asks for one.
     fn write_every(&self) -> Duration {
-        WRITE_EVERY.max(WRITE_STEP * u32::try_from(self.board.fleet()).unwrap_or(u32::MAX))
+        if self.board.fleet() <= STAMPED_MAX { WRITE_EVERY } else { WRITE_SELDOM }
     }
 
     /// Records that end this instance's dead runs, and take back reserves that they cannot have used.
