--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::server::ANY_PORT;
@@ -26,6 +28,9 @@
 #[derive(Debug, Default)]
 struct State {
     age: AtomicU64,
+    resets: watch::Sender<u64>,
+    delay_ms: AtomicU64,
+    loses_answers: AtomicBool,
     opened: AtomicU64,
     trap: Mutex<Option<Vec<u8>>>,
 }
@@ -57,6 +62,21 @@
         self.state.age.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Closes the connections that are open now.
+    pub fn reset(&self) {
+        self.state.resets.send_modify(|count| *count += 1);
+    }
+
+    /// Delays every piece of data in both directions from now on.
+    pub fn set_delay(&self, span: Duration) {
+        self.state.delay_ms.store(u64::try_from(span.as_millis()).unwrap_or(u64::MAX), Ordering::SeqCst);
+    }
+
+    /// Lets what the target says go missing, while it goes on hearing.
+    pub fn lose_answers(&self, loses: bool) {
+        self.state.loses_answers.store(loses, Ordering::SeqCst);
+    }
+
     /// Silences the one connection on which the next request that starts with `start` is sent, and swallows it.
     pub fn swallow(&self, start: &str) {
         *self.state.trap.lock() = Some(start.as_bytes().to_vec());
@@ -86,16 +106,21 @@
         let born = state.age.load(Ordering::SeqCst);
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
-        tokio::spawn(copy(near_read, far_write, Arc::clone(&state), born));
-        tokio::spawn(copy(far_read, near_write, Arc::clone(&state), born));
+        tokio::spawn(copy(near_read, far_write, Arc::clone(&state), born, false));
+        tokio::spawn(copy(far_read, near_write, Arc::clone(&state), born, true));
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, state: Arc<State>, born: u64) {
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, state: Arc<State>, born: u64, is_answer: bool) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut resets = state.resets.subscribe();
     loop {
         let is_silent = || state.age.load(Ordering::SeqCst) != born;
-        let count = match from.read(&mut buffer).await {
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
+            _ = resets.changed() => return,
+        };
+        let count = match read {
             // The far end learns nothing of a close that was lost.
             Ok(0) | Err(_) if is_silent() => std::future::pending().await,
             Ok(0) | Err(_) => return,
@@ -104,7 +129,9 @@
         if state.springs(&buffer[..count]) {
             std::future::pending::<()>().await;
         }
-        if !is_silent() && to.write_all(&buffer[..count]).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(state.delay_ms.load(Ordering::SeqCst))).await;
+        let is_lost = is_silent() || (is_answer && state.loses_answers.load(Ordering::SeqCst));
+        if !is_lost && to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
     }
