--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -1,14 +1,16 @@
 //! The way of a request through one instance: typed requests in, typed outcomes out.
 //!
 //! Borders to the store, to backend servers' dialect and to time are traits, so that every fault can be played
-//! without a network. `docs/PLATFORM.md` tells how the parts meet; imports go from the top of this list downwards.
+//! without a network. `docs/PLATFORM.md` tells how the parts meet. Modules import from their own group and from those
+//! below it: the path of a request, what it and the controllers use, controllers that follow the store, shared state,
+//! and types.
 
+pub mod accepted;
+pub mod ending;
 pub mod path;
 pub mod relay;
 
-pub mod accepted;
 pub mod drain;
-pub mod ending;
 pub mod exchange;
 pub mod keeper;
 pub mod peers;
--- a/crates/serving/src/suspects.rs
+++ b/crates/serving/src/suspects.rs
@@ -5,11 +5,11 @@
 //! `docs/ADMISSION.md#quarantine`.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfootpick_core::names::{BudgetKey, ClientAccountName, EnvironmentName, ServiceName, Stage};
 use coltsfootpick_core::quarantine::{Fingerprint, Loss, Standing};
 use coltsfootpick_core::refusal::{Code, Refusal};
-use std::time::Duration;
 
 use crate::board::Board;
 use crate::events::Event;
