--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -543,7 +543,9 @@
         fleet_event!(Event::CreditBorrowed, "peer={peer} account={account} amount={} left={}", loan.amount, loan.left);
         self.purses.lock().borrow(account, loan.amount);
         if loan.amount.is_zero() {
-            self.poor.lock().insert((Arc::from(peer), account.clone()), Instant::now() + POOR_REST);
+            let (now, mut poor) = (Instant::now(), self.poor.lock());
+            poor.retain(|_, until| *until > now);
+            poor.insert((Arc::from(peer), account.clone()), now + POOR_REST);
         }
         self.renewed.send_modify(|count| *count += 1);
     }
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -341,6 +341,7 @@
                 let mut known = self.peers.known.lock();
                 if let Some(before) = self.runs.insert(record.key, Arc::clone(&holder)).filter(|run| *run != holder) {
                     known.remove(&before);
+                    self.peers.void.lock().remove(&before);
                 }
                 fleet_event!(Event::PeerListed, "peer={holder} address={address}");
                 known.insert(holder, Peer { address, link: None, rest: None });
