--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -1,4 +1,4 @@
-//! Numbered log events of the request path and its controllers; `docs/EVENTS.md` is their catalogue.
+//! Numbered log events of the request path and its controllers; `docs/EDGE-EVENTS.md` is their catalogue.
 
 use log::Level;
 
--- a/crates/serving/tests/lines.rs
+++ b/crates/serving/tests/lines.rs
@@ -21,10 +21,10 @@
 
 #[test]
 fn event_catalogue() {
-    let page = include_str!("../../../docs/EVENTS.md");
+    let page = include_str!("../../../docs/EDGE-EVENTS.md");
     let codes: BTreeSet<&str> = Event::ALL.iter().map(|event| event.code()).collect();
     assert_eq!(codes.len(), Event::ALL.len(), "each event has a code of its own");
     for code in codes {
-        assert!(page.contains(&format!("| {code} |")), "{code} is not in docs/EVENTS.md");
+        assert!(page.contains(&format!("| {code} |")), "{code} is not in docs/EDGE-EVENTS.md");
     }
 }
