Daemons of tests bind claimed ports

Cause: kill_mid_stream waited 20 s for a daemon that had ended at once with "cannot listen on 127.0.0.1:33973: Address already in use". The test let the system choose a port, freed it, and another socket got it before the daemon bound it. The test now tells what an ended daemon said; that gave the line.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use coltsfootpick_testkit::engine::{Engine, Shape, token};
 use coltsfootpick_testkit::plain::Plain;
 use coltsfootpick_testkit::platform::Platform;
+use coltsfootpick_testkit::ports;
 use coltsfootpick_testkit::server::{ANY_PORT, Running};
 use coltsfootpick_wire::operators::{BudgetView, OrderAnswer};
 use common::{DOCUMENT, PATIENCE, SETTINGS, operator, registry, server};
@@ -69,6 +70,18 @@
         (status.code(), lines)
     }
 
+    /// Waits until the daemon serves; one that ends before it does fails the test with what it said.
+    async fn ready(&mut self) {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        while get_status(self.callers, "/readyz").await != Some(200) {
+            let ended = self.child.try_wait().unwrap();
+            let said = || std::fs::read_to_string(self.settings.with_extension("log")).unwrap();
+            assert!(ended.is_none(), "the daemon ended with {ended:?}: {}", said());
+            assert!(tokio::time::Instant::now() < deadline, "not in time: ready: {}", said());
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     async fn order(&self, path: &str, body: serde_json::Value) -> Answer {
         operator().send(self.operators, Method::POST, path, &[], body.to_string()).await.unwrap()
     }
@@ -90,8 +103,7 @@
 }
 
 fn free_addresses() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind(ANY_PORT).unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+    [(); 3].map(|()| SocketAddr::from(([127, 0, 0, 1], ports::claim().expect("a port is free"))))
 }
 
 struct Site {
@@ -120,9 +132,9 @@
         let address = platform_server.address;
         let daemons: Vec<Daemon> =
             (0..daemons).map(|index| Daemon::start(&format!("d-{index}"), address, drain)).collect();
-        let site = Self { platform, engine, plain, daemons, platform_server, _servers: [engine_server, plain_server] };
-        for daemon in &site.daemons {
-            until("ready", || async { get_status(daemon.callers, "/readyz").await == Some(200) }).await;
+        let mut site = Self { platform, engine, plain, daemons, platform_server, _servers: [engine_server, plain_server] };
+        for daemon in &mut site.daemons {
+            daemon.ready().await;
         }
         site.open().await;
         site
--- a/crates/testkit/examples/free_ports.rs
+++ b/crates/testkit/examples/free_ports.rs
@@ -1,12 +1,12 @@
-//! Prints N loopback ports that were free a moment ago: `free_ports N`.
+//! Prints N loopback ports on which nothing listens: `free_ports N`.
 
-use std::net::TcpListener;
+use coltsfootpick_testkit::ports;
+use eyre::eyre;
 
 fn main() -> eyre::Result<()> {
     let count: usize = std::env::args().nth(1).unwrap_or_else(|| "1".to_owned()).parse()?;
-    let listeners: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    for listener in &listeners {
-        println!("{}", listener.local_addr()?.port());
+    for _ in 0..count {
+        println!("{}", ports::claim().ok_or_else(|| eyre!("no port is free"))?);
     }
     Ok(())
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub mod ports;
 pub mod relay;
 pub mod replay;
 pub mod routing_world;
