Two homes and the heavy users hold an account in a large fleet

One instance that got nearly all calls of an account was no holder and borrowed each request's room. Change: two homes an account and whoever has an eighth of its use hold room, for the whole window and without reserves; others write every 30 s; the pause after a lost write doubles. CreditBook has one test for a living holder; is_unsure, which had no caller, is gone.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -31,6 +31,11 @@
     pub fn bound(&self) -> Tokens {
         self.ceiling + self.reserve
     }
+
+    /// Whether the holder may use more than it had used when it wrote this.
+    pub fn has_room(&self) -> bool {
+        self.bound() > self.settled
+    }
 }
 
 /// Time without a write after which a holder uses its reserve.
@@ -51,8 +56,19 @@
 /// Time after which a holder's record no longer tells what its clock shows.
 const WITNESS_AGE: Duration = Duration::from_millis(1_500);
 
-/// Instances that hold room of one account in a fleet of more than [`ALL_HOLD`].
-const HOLDERS_MAX: usize = 8;
+/// Instances that hold room of one account for others in a fleet of more than [`ALL_HOLD`]; more of them renew against
+/// each other, with one only its death stops the account until it is missed.
+const HOMES: usize = 2;
+
+/// Instances of a large fleet among which an account's room is first divided: homes, and some that use much.
+const LARGE_PARTS: u64 = 4;
+
+/// Part of an account's use, as a divisor, from which an instance that is no home holds room too.
+const HEAVY_PART: u64 = 8;
+
+/// Part of the amount paid for, as a divisor, below which an instance's use is no ground to hold room: the use of others
+/// is not known yet.
+const HEAVY_LEAST: u64 = 200;
 
 /// Instances up to which each holds room of every account.
 const ALL_HOLD: usize = 10;
@@ -130,6 +146,34 @@
     at: Instant,
 }
 
+impl Heard {
+    fn is_living(&self, now: Instant, silence: Duration) -> bool {
+        !self.record.closed && now.since(self.at) <= silence
+    }
+}
+
+/// What an instance used of an account.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountUse<'a> {
+    /// The account.
+    pub account: &'a ClientAccountName,
+    /// Tokens that the instance used.
+    pub used: Tokens,
+    /// Tokens that the account paid for.
+    pub prepaid: Tokens,
+}
+
+/// How an instance stands to the room of an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stake {
+    /// All of the fleet's instances, of this number, hold a share.
+    Share(u64),
+    /// It is one of the few that hold room and lend it to the others.
+    Holder,
+    /// It borrows from those that hold room.
+    Borrower,
+}
+
 /// Sums over all other holders of one account.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Others {
@@ -169,7 +213,7 @@
         let mut sums = Others::default();
         for (_, heard) in self.holders.iter().filter(|(name, _)| &***name != own) {
             let Some(holding) = heard.record.holdings.get(account) else { continue };
-            let is_over = heard.record.closed || now.since(heard.at) > silence;
+            let is_over = !heard.is_living(now, silence);
             sums.ceiling += holding.bound();
             sums.settled += if is_over { holding.bound() } else { holding.settled };
             sums.seen += holding.settled;
@@ -192,24 +236,33 @@
 
     /// Holders other than `own` that are still heard of.
     pub fn alive(&self, own: &str, now: Instant, silence: Duration) -> usize {
-        let others = self.holders.iter().filter(|(name, _)| &***name != own);
-        others.filter(|(_, heard)| !heard.record.closed && now.since(heard.at) <= silence).count()
+        self.living(own, now, silence).count()
     }
 
-    /// Whether `own` is one of the instances that hold room of `account`; the others borrow it.
+    fn living(&self, own: &str, now: Instant, silence: Duration) -> impl Iterator<Item = &Arc<str>> {
+        let others = self.holders.iter().filter(move |(name, heard)| &***name != own && heard.is_living(now, silence));
+        others.map(|(name, _)| name)
+    }
+
+    /// How `own`, which used `used` of the `prepaid` tokens of `account`, stands to its room.
     ///
     /// In a large fleet room that is spread over all instances covers no single request, and all of them write.
-    pub fn holds(&self, own: &str, account: &ClientAccountName, now: Instant, silence: Duration) -> bool {
-        let is_alive = |heard: &Heard| !heard.record.closed && now.since(heard.at) <= silence;
-        let others = self.holders.iter().filter(|(name, heard)| &***name != own && is_alive(heard));
+    pub fn stake(&self, own: &str, use_of: AccountUse<'_>, now: Instant, silence: Duration) -> Stake {
+        let AccountUse { account, used, prepaid } = use_of;
         let weight = |name: &str| xxh3_64(format!("{account}\n{}", instance_of(name)).as_bytes());
         let own_weight = weight(own);
         let (mut fleet, mut before) = (1, 0);
-        for (name, _) in others {
+        for name in self.living(own, now, silence) {
             fleet += 1;
             before += usize::from(weight(name) > own_weight);
         }
-        fleet <= ALL_HOLD || before < HOLDERS_MAX
+        let all_used = || self.others(own, account, now, silence).seen + used;
+        let is_heavy = || used.0 >= prepaid.0 / HEAVY_LEAST && used.0 >= all_used().0 / HEAVY_PART;
+        match fleet {
+            0..=ALL_HOLD => Stake::Share(fleet as u64),
+            _ if before < HOMES || is_heavy() => Stake::Holder,
+            _ => Stake::Borrower,
+        }
     }
 
     /// Whether no holder has any ceiling yet, as when the whole fleet starts for the first time.
@@ -226,9 +279,8 @@
 
     /// Stamps of the other instances' newest records, as far as they were heard of lately.
     fn witnesses(&self, own: &str, now: Instant) -> BTreeMap<Arc<str>, u64> {
-        let is_fresh = |heard: &Heard| !heard.record.closed && now.since(heard.at) <= WITNESS_AGE;
-        let others =
-            self.holders.iter().filter(|(name, heard)| instance_of(name) != instance_of(own) && is_fresh(heard));
+        let is_other = |name: &str| instance_of(name) != instance_of(own);
+        let others = self.holders.iter().filter(|(name, heard)| is_other(name) && heard.is_living(now, WITNESS_AGE));
         others.map(|(name, heard)| (Arc::from(instance_of(name)), heard.record.stamp)).take(WITNESSES_MAX).collect()
     }
 
@@ -258,6 +310,13 @@
     }
 }
 
+impl CeilingPolicy {
+    /// Policy of a holder in a large fleet, where records are too rare to prove a reserve unused.
+    const fn large(&self) -> Self {
+        Self { base: self.share, ..*self }
+    }
+}
+
 /// Hundredths in a whole.
 const PERCENT: u64 = 100;
 
@@ -452,15 +511,15 @@
         let mut is_due = force;
         let witnesses = book.witnesses(&self.holder, now);
         let mut record = HolderRecord { document, stamp, witnesses, ..HolderRecord::default() };
-        let alive = book.alive(&self.holder, now, self.policy.silence) + 1;
-        let fleet = if alive <= ALL_HOLD { alive } else { HOLDERS_MAX } as u64;
         for (account, prepaid) in accounts {
             let others = book.others(&self.holder, account, now, self.policy.silence);
             let purse = self.accounts.entry(account.clone()).or_default();
             purse.seen = others.seen;
-            let room = match book.holds(&self.holder, account, now, self.policy.silence) {
-                true => AimedRoom::new(&self.policy, purse, others, prepaid, fleet, now),
-                false => AimedRoom::default(),
+            let use_of = AccountUse { account, used: purse.used, prepaid };
+            let room = match book.stake(&self.holder, use_of, now, self.policy.silence) {
+                Stake::Share(fleet) => AimedRoom::new(&self.policy, purse, others, prepaid, fleet, now),
+                Stake::Holder => AimedRoom::new(&self.policy.large(), purse, others, prepaid, LARGE_PARTS, now),
+                Stake::Borrower => AimedRoom::default(),
             };
             let (aim, total) = (room.base.max(purse.wanted), room.total.max(purse.wanted));
             let most = prepaid.less(others.ceiling).max(purse.taken());
@@ -535,11 +594,6 @@
         self.restrain();
     }
 
-    /// Whether a write has an unknown end.
-    pub fn is_unsure(&self) -> bool {
-        !self.pending.is_empty()
-    }
-
     fn set_ceilings(&mut self, record: &HolderRecord) {
         for (account, purse) in &mut self.accounts {
             let holding = record.holdings.get(account).copied().unwrap_or_default();
@@ -577,14 +631,16 @@
     fn new(policy: &CeilingPolicy, purse: &Purse, others: Others, prepaid: Tokens, fleet: u64, now: Instant) -> Self {
         let unused = prepaid.less(others.settled + purse.used);
         let own = prepaid.0 / PERCENT * BASE_SHARE;
-        let weight = u128::from(purse.used.0 + own);
-        let weights = u128::from(others.alive.0 + purse.used.0 + own * fleet).max(1);
+        let weight = u128::from(purse.used.0 + purse.lent.0 + own);
+        let weights = u128::from(others.alive.0 + purse.used.0 + purse.lent.0 + own * fleet).max(1);
         let part = u128::from(unused.0) * weight / weights;
         let within = |window: Duration, most: u64| {
             let most = Tokens(u64::try_from(part * u128::from(most) / u128::from(PERCENT)).unwrap_or(u64::MAX));
             most.min(use_in(purse, window, now).max(Tokens(most.0 / 2)))
         };
-        Self { base: within(BASE_WINDOW, policy.base), total: within(policy.window, policy.share) }
+        let total = within(policy.window, policy.share);
+        let base = if policy.base == policy.share { total } else { within(BASE_WINDOW, policy.base) };
+        Self { base, total }
     }
 }
 
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::{
-    CeilingPolicy, CreditBook, HolderRecord, Holding, ISOLATION, Purses, ReserveOutcome, instance_of,
+    AccountUse, CeilingPolicy, CreditBook, HolderRecord, Holding, ISOLATION, Purses, ReserveOutcome, Stake, instance_of,
 };
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::units::{Instant, Offset, Tokens};
@@ -482,3 +482,35 @@
     let second = run.purses.plan(&run.book, 1, [(&account, prepaid)], world.now, 1, false);
     assert_eq!(second, None);
 }
+
+/// Book of `fleet` instances that each used `used` tokens, and the names of their runs.
+fn large_book(fleet: usize, used: u64, now: Instant) -> (CreditBook, Vec<Arc<str>>) {
+    let mut book = CreditBook::default();
+    let names: Vec<Arc<str>> = (0..fleet).map(|at| format!("edge-{at}/1").into()).collect();
+    let holding = Holding { settled: Tokens(used), ..Holding::default() };
+    for name in &names {
+        let holdings = [(account(), holding)].into();
+        book.apply(name, HolderRecord { holdings, ..HolderRecord::default() }, now);
+    }
+    (book, names)
+}
+
+#[test]
+fn few_homes() {
+    let now = Instant(Duration::from_secs(100));
+    let silence = CeilingPolicy::default().silence;
+    let (book, names) = large_book(67, 100, now);
+    let (account, prepaid) = (account(), Tokens(PREPAID));
+    let stake = |name: &str, used: u64| {
+        let use_of = AccountUse { account: &account, used: Tokens(used), prepaid };
+        book.stake(name, use_of, now, silence)
+    };
+    let holders = names.iter().filter(|name| stake(name, 100) == Stake::Holder).count();
+    assert_eq!(holders, 2);
+    let borrower = names.iter().find(|name| stake(name, 100) == Stake::Borrower).unwrap();
+    assert_eq!(stake(borrower, 20_000), Stake::Holder, "an instance with most of the use holds room itself");
+    assert_eq!(stake(borrower, 4_000), Stake::Borrower, "a little use is no ground to hold room");
+    let (small, names) = large_book(6, 100, now);
+    let use_of = AccountUse { account: &account, used: Tokens(100), prepaid };
+    assert_eq!(small.stake(&names[0], use_of, now, silence), Stake::Share(6));
+}
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -132,7 +132,8 @@
         let address = platform_server.address;
         let daemons: Vec<Daemon> =
             (0..daemons).map(|index| Daemon::start(&format!("d-{index}"), address, drain)).collect();
-        let mut site = Self { platform, engine, plain, daemons, platform_server, _servers: [engine_server, plain_server] };
+        let mut site =
+            Self { platform, engine, plain, daemons, platform_server, _servers: [engine_server, plain_server] };
         for daemon in &mut site.daemons {
             daemon.ready().await;
         }
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::{
-    CeilingPolicy, CreditBook, HolderRecord, Holding, Loan, Purses, ReserveOutcome, WRITE_EVERY, instance_of,
+    AccountUse, CeilingPolicy, CreditBook, HolderRecord, Holding, Loan, Purses, ReserveOutcome, Stake, WRITE_EVERY,
+    instance_of,
 };
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::refusal::{Code, Refusal};
@@ -34,16 +35,23 @@
 /// Instances up to which records are written often enough to prove reserves unused.
 const STAMPED_MAX: usize = 15;
 
-/// Time between two records of an instance in a larger fleet, where nothing else asks for one; a run is believed to live
-/// for 20 s after its last.
+/// Time between two records of an instance that holds room in a larger fleet, where nothing else asks for one; a run is
+/// believed to live for 20 s after its last.
 const WRITE_SELDOM: Duration = Duration::from_secs(8);
 
+/// Time between two records of an instance that holds no room; they only tell what it used.
+const TELL_EVERY: Duration = Duration::from_secs(30);
+
 /// Least time between two renewals, so that requests that wait together share one.
 const RENEW_GAP: Duration = Duration::from_millis(40);
 
-/// Longest random pause after another instance wrote first.
+/// Longest random pause after another instance wrote first; it doubles with each further time, since 67 instances
+/// otherwise lose 16 writes for each that succeeds.
 const MOVED_PAUSE_MS: u64 = 25;
 
+/// Doublings of that pause.
+const MOVED_DOUBLINGS: u32 = 4;
+
 /// Pause after the store did not take a write.
 const LOST_PAUSE: Duration = Duration::from_millis(250);
 
@@ -79,7 +87,7 @@
 const CLOCKS_ASKED: usize = 8;
 
 /// Reads and writes tried for one renewal.
-const TRIES_MAX: usize = 12;
+const TRIES_MAX: u32 = 12;
 
 /// Tokens set aside for one request; dropped, it settles what was used.
 #[derive(Debug)]
@@ -224,7 +232,14 @@
     /// Whether this instance is one of those that hold room of `account`.
     fn holds(&self, account: &ClientAccountName) -> bool {
         let holder = self.holder();
-        self.book.lock().holds(&holder, account, self.board.clock.now(), self.policy.silence)
+        let (used, _, _) = self.purses.lock().view(account);
+        let use_of = AccountUse { account, used, prepaid: self.prepaid(account) };
+        self.book.lock().stake(&holder, use_of, self.board.clock.now(), self.policy.silence) != Stake::Borrower
+    }
+
+    fn prepaid(&self, account: &ClientAccountName) -> Tokens {
+        let table = self.board.table();
+        table.as_ref().and_then(|table| table.account(account)?.prepaid).unwrap_or_default()
     }
 
     /// Whether a higher ceiling should not come from the store: others hold the account, or what is left of it, or the
@@ -238,8 +253,7 @@
 
     /// Whether the store has no room for `bound` tokens below what the account paid for.
     fn is_held(&self, account: &ClientAccountName, bound: Tokens) -> bool {
-        let Some(table) = self.board.table() else { return false };
-        let prepaid = table.account(account).and_then(|account| account.prepaid).unwrap_or_default();
+        let prepaid = self.prepaid(account);
         let holder = self.holder();
         let others = self.book.lock().others(&holder, account, self.board.clock.now(), self.policy.silence);
         let (used, reserved, _) = self.purses.lock().view(account);
@@ -265,8 +279,7 @@
         let holder = self.holder();
         let others = self.book.lock().others(&holder, account, self.board.clock.now(), self.policy.silence);
         let (used, reserved, allowed) = self.purses.lock().view(account);
-        let table = self.board.table();
-        let prepaid = table.as_ref().and_then(|table| table.account(account)?.prepaid).unwrap_or_default();
+        let prepaid = self.prepaid(account);
         let detail = format!(
             "account={account} bound={bound} used={used} reserved={reserved} allowed={allowed} prepaid={prepaid} \
              others-ceiling={} others-seen={} store-reached={}",
@@ -317,7 +330,15 @@
 
     /// Time between two records when nothing else asks for one.
     fn write_every(&self) -> Duration {
-        if self.board.fleet() <= STAMPED_MAX { WRITE_EVERY } else { WRITE_SELDOM }
+        let holds_room = || {
+            let holder = self.holder();
+            self.book.lock().record(&holder).is_some_and(|record| record.holdings.values().any(Holding::has_room))
+        };
+        match self.board.fleet() {
+            0..=STAMPED_MAX => WRITE_EVERY,
+            _ if holds_room() => WRITE_SELDOM,
+            _ => TELL_EVERY,
+        }
     }
 
     /// Records that end this instance's dead runs, and take back reserves that they cannot have used.
@@ -383,7 +404,7 @@
 
     /// Brings the ceilings up to date; an announcement holds no ceilings and only tells that the holder lives.
     async fn renew(self: &Arc<Self>, announces: bool) -> Renewal {
-        for _ in 0..TRIES_MAX {
+        for tries in 0..TRIES_MAX {
             if let Err(error) = self.read().await {
                 self.note_reach(false, &error.to_string());
                 return Renewal::Lost;
@@ -398,7 +419,7 @@
             }
             match self.write(records).await {
                 Renewal::Moved => {
-                    let pause = rand::rng().random_range(1..=MOVED_PAUSE_MS);
+                    let pause = rand::rng().random_range(1..=MOVED_PAUSE_MS << tries.min(MOVED_DOUBLINGS));
                     tokio::time::sleep(Duration::from_millis(pause)).await;
                 }
                 ended => return ended,
@@ -418,13 +439,14 @@
         let (now, table) = (self.board.clock.now(), self.board.table());
         let version = table.as_ref().map_or(0, |table| table.version());
         let stamp = self.board.clock.wall();
+        let write_every = self.write_every();
         let (book, mut purses) = (self.book.lock(), self.purses.lock());
         if announces {
             return purses.plan(&book, version, [], now, stamp, true);
         }
         let limited = table.iter().flat_map(|table| table.accounts());
         let limited = limited.filter_map(|account| account.prepaid.map(|prepaid| (&account.name, prepaid)));
-        let is_old = purses.stamped().is_none_or(|at| now.since(at) >= self.write_every());
+        let is_old = purses.stamped().is_none_or(|at| now.since(at) >= write_every);
         purses.plan(&book, version, limited, now, stamp, is_old)
     }
 
