Ceilings are appended in turns and judged where the log has them

Cause: writes on condition that the log ends where it was read lose to each other: 2,555 of 3,330 at 67 instances, and a busy instance lost nearly always. Change: records are appended without a condition, each in its writer's turn, so that one of unknown end is sent again and never takes effect late. A holder judges its own raise where it reads it in the log: it counts if it fits beside the newest records of the others before it.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -3,7 +3,10 @@
 //! The log keeps, for each holder and client account, a ceiling that the holder's use never passes. The sum of all
 //! ceilings of an account stays within what it paid for, so the deaths of any holders at any moment overspend
 //! nothing; they only leave the unused part below their ceilings in doubt. Ceilings are therefore kept a short
-//! time of use above what was used. See `docs/CREDIT.md`.
+//! time of use above what was used.
+//!
+//! Records are appended without a condition. A holder judges its own raise where the log has it: it counts only if it
+//! fits beside what the newest records of all others before it say. See `docs/CREDIT.md#order`.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -222,6 +225,12 @@
         sums
     }
 
+    /// Sum of everything that holders other than `own` may use of `account` by their newest records.
+    fn held(&self, own: &str, account: &ClientAccountName) -> Tokens {
+        let others = self.holders.iter().filter(|(name, _)| &***name != own);
+        others.filter_map(|(_, heard)| Some(heard.record.holdings.get(account)?.bound())).sum()
+    }
+
     /// Holders other than `own` with the room of `account` that their newest records show, most first.
     pub fn rooms(&self, own: &str, account: &ClientAccountName) -> Vec<(Arc<str>, Tokens)> {
         let others = self.holders.iter().filter(|(name, heard)| &***name != own && !heard.record.closed);
@@ -290,6 +299,24 @@
     }
 }
 
+impl Pending {
+    /// Whether `record`, as read from the log, is this one.
+    fn is(&self, record: &HolderRecord) -> bool {
+        self.record.stamp == record.stamp && self.record.holdings == record.holdings
+    }
+}
+
+/// What a record tells beside its ceilings.
+#[derive(Clone, Debug, Default)]
+pub struct RecordNote {
+    /// Version of the document that the holder goes by.
+    pub document: u64,
+    /// Time of day at the holder, in milliseconds since 1970.
+    pub stamp: u64,
+    /// Requests that the holder suspects of crashing backend servers.
+    pub suspects: Vec<SuspectNews>,
+}
+
 /// How far ceilings stand above what was used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CeilingPolicy {
@@ -350,10 +377,37 @@
     Exhausted,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Purse {
+/// What a holder may use in total.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Limit {
     ceiling: Tokens,
     reserve: Tokens,
+}
+
+impl Limit {
+    /// Limit that `record` asks for.
+    fn of(record: &HolderRecord, account: &ClientAccountName) -> Self {
+        let holding = record.holdings.get(account).copied().unwrap_or_default();
+        Self { ceiling: holding.ceiling, reserve: holding.reserve }
+    }
+
+    fn bound(self) -> Tokens {
+        self.ceiling + self.reserve
+    }
+
+    fn lower_of(self, other: Self) -> Self {
+        Self { ceiling: self.ceiling.min(other.ceiling), reserve: self.reserve.min(other.reserve) }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Purse {
+    /// In force; below what the log grants while a lower one is being written.
+    limit: Limit,
+    /// Granted by the log as far as it was read.
+    granted: Limit,
+    /// Whether the newest record asks for more than is granted, which others count as held.
+    is_refused: bool,
     used: Tokens,
     reserved: Tokens,
     borrowed: Tokens,
@@ -370,8 +424,8 @@
     }
 
     fn room(&self, isolated: bool) -> Tokens {
-        let reserve = if isolated { self.reserve } else { Tokens::ZERO };
-        (self.ceiling + reserve + self.borrowed).less(self.used + self.reserved + self.lent)
+        let reserve = if isolated { self.limit.reserve } else { Tokens::ZERO };
+        (self.limit.ceiling + reserve + self.borrowed).less(self.used + self.reserved + self.lent)
     }
 }
 
@@ -390,15 +444,14 @@
     holder: Arc<str>,
     policy: CeilingPolicy,
     accounts: BTreeMap<ClientAccountName, Purse>,
-    pending: Vec<(Offset, HolderRecord)>,
     stamped: Option<Instant>,
-    /// Record that was planned and whose write has not ended.
-    planned: Option<Planned>,
+    pending: Option<Pending>,
 }
 
-/// What a planned record replaces when its write takes no effect.
-#[derive(Clone, Copy, Debug)]
-struct Planned {
+/// Record that was planned and was not read from the log yet.
+#[derive(Clone, Debug)]
+struct Pending {
+    record: HolderRecord,
     /// Time of the newest record before it.
     before: Option<Instant>,
 }
@@ -406,7 +459,7 @@
 impl Purses {
     /// Empty purses of a fresh holder.
     pub const fn new(holder: Arc<str>, policy: CeilingPolicy) -> Self {
-        Self { holder, policy, accounts: BTreeMap::new(), pending: Vec::new(), stamped: None, planned: None }
+        Self { holder, policy, accounts: BTreeMap::new(), stamped: None, pending: None }
     }
 
     /// Name under which the holder writes.
@@ -486,7 +539,8 @@
 
     /// Tokens used, set aside and allowed of `account`.
     pub fn view(&self, account: &ClientAccountName) -> (Tokens, Tokens, Tokens) {
-        let view = |purse: &Purse| (purse.used, purse.reserved, (purse.ceiling + purse.borrowed).less(purse.lent));
+        let view =
+            |purse: &Purse| (purse.used, purse.reserved, (purse.limit.ceiling + purse.borrowed).less(purse.lent));
         self.accounts.get(account).map(view).unwrap_or_default()
     }
 
@@ -497,20 +551,24 @@
 
     /// Next record to write, when one is due; `accounts` are those that are limited, with what they paid for.
     ///
-    /// Lowered ceilings bind from this moment on, raised ones once [`Self::confirm`] tells that they are written. The
-    /// reserve is out of use from this moment on too, since the record's stamp may reach the log.
+    /// Lowered ceilings bind from this moment on, raised ones once [`Self::take_own`] finds that they fit. The reserve is
+    /// out of use from this moment on too, since the record's stamp may reach the log. Nothing is planned while a
+    /// record is pending: until it was read, nobody knows which of two counts.
     pub fn plan<'a>(
         &mut self,
         book: &CreditBook,
-        document: u64,
+        note: RecordNote,
         accounts: impl IntoIterator<Item = (&'a ClientAccountName, Tokens)>,
         now: Instant,
-        stamp: u64,
         force: bool,
     ) -> Option<HolderRecord> {
+        if self.pending.is_some() {
+            return None;
+        }
         let mut is_due = force;
         let witnesses = book.witnesses(&self.holder, now);
-        let mut record = HolderRecord { document, stamp, witnesses, ..HolderRecord::default() };
+        let RecordNote { document, stamp, suspects } = note;
+        let mut record = HolderRecord { document, stamp, witnesses, suspects, ..HolderRecord::default() };
         for (account, prepaid) in accounts {
             let others = book.others(&self.holder, account, now, self.policy.silence);
             let purse = self.accounts.entry(account.clone()).or_default();
@@ -524,22 +582,24 @@
             let (aim, total) = (room.base.max(purse.wanted), room.total.max(purse.wanted));
             let most = prepaid.less(others.ceiling).max(purse.taken());
             // A holder behind the others' document does not know what was paid for and must not raise.
-            let kept = purse.ceiling.max(purse.taken());
+            let kept = purse.limit.ceiling.max(purse.taken());
             let most = if document < book.newest_document() { most.min(kept) } else { most };
             let ceiling = (purse.taken() + aim).min(most);
             let reserve = total.less(aim).min(most.less(ceiling));
             let room = purse.room(false).0;
-            let raises = ceiling > purse.ceiling && (room < aim.0 / PERCENT * RAISE_BELOW || !purse.wanted.is_zero());
-            let lowers =
-                ceiling < purse.ceiling && (purse.ceiling > most || room > aim.0 / PERCENT * LOWER_ABOVE + PERCENT);
-            is_due |= raises || lowers;
+            let raises =
+                ceiling > purse.limit.ceiling && (room < aim.0 / PERCENT * RAISE_BELOW || !purse.wanted.is_zero());
+            let is_wide = purse.limit.ceiling > most || room > aim.0 / PERCENT * LOWER_ABOVE + PERCENT;
+            let lowers = ceiling < purse.limit.ceiling && is_wide;
+            is_due |= raises || lowers || purse.is_refused;
             record.holdings.insert(account.clone(), Holding { ceiling, settled: purse.used, reserve });
         }
         if !is_due {
             return None;
         }
-        self.lower(&record);
-        self.planned = Some(Planned { before: self.stamped.replace(now) });
+        let before = self.stamped.replace(now);
+        self.pending = Some(Pending { record: record.clone(), before });
+        self.limit_all();
         Some(record)
     }
 
@@ -548,70 +608,78 @@
         let spent = |purse: &Purse| Holding { ceiling: purse.taken(), settled: purse.used, reserve: Tokens::ZERO };
         let holdings = self.accounts.iter().map(|(account, purse)| (account.clone(), spent(purse))).collect();
         let record = HolderRecord { holdings, document, closed: true, ..HolderRecord::default() };
-        self.lower(&record);
+        self.pending = Some(Pending { record: record.clone(), before: self.stamped });
+        self.limit_all();
         record
     }
 
-    /// Notes that `record` is the newest one of this holder in the log.
-    pub fn confirm(&mut self, record: &HolderRecord) {
-        self.planned = None;
-        self.pending.clear();
-        self.set_ceilings(record);
+    /// Takes in this holder's own record where the log has it, after the others' before it, and tells the accounts whose
+    /// raise does not fit.
+    ///
+    /// A raise counts when it fits beside what the newest records of the others allow them, whether theirs count or not.
+    /// Of two raises that fit singly only the first one in the log counts, and every holder sees the same order.
+    pub fn take_own(
+        &mut self,
+        record: &HolderRecord,
+        book: &CreditBook,
+        document: u64,
+        prepaid: impl Fn(&ClientAccountName) -> Option<Tokens>,
+    ) -> Vec<ClientAccountName> {
+        // A holder behind the others' document does not know what was paid for.
+        let is_behind = document < book.newest_document();
+        let holder = Arc::clone(&self.holder);
+        self.settle_own(record, |account, asked| {
+            !is_behind && prepaid(account).is_some_and(|prepaid| book.held(&holder, account) + asked.bound() <= prepaid)
+        })
     }
 
-    /// Notes that `record` may have been written at `at`, or may still be until another record is written there.
-    pub fn note_unknown(&mut self, at: Offset, record: HolderRecord) {
-        self.planned = None;
-        self.pending.push((at, record));
-        self.restrain();
+    /// Takes in this holder's newest record without knowing what came before it, so that no raise counts.
+    pub fn take_newest(&mut self, record: &HolderRecord) {
+        self.settle_own(record, |_, _| false);
     }
 
-    /// Brings the ceilings in line with what was read: `newest` is this holder's record, read up to `next`.
-    pub fn read_back(&mut self, newest: Option<&HolderRecord>, next: Offset) {
-        if self.pending.is_empty() {
-            return;
-        }
-        self.pending.retain(|(at, _)| *at >= next);
-        if let Some(record) = newest {
-            self.set_ceilings(record);
+    fn settle_own(
+        &mut self,
+        record: &HolderRecord,
+        fits: impl Fn(&ClientAccountName, Limit) -> bool,
+    ) -> Vec<ClientAccountName> {
+        let mut refused = Vec::new();
+        for (account, purse) in &mut self.accounts {
+            let asked = Limit::of(record, account);
+            purse.is_refused = asked.bound() > purse.granted.bound() && !fits(account, asked);
+            purse.granted = if purse.is_refused { purse.granted.lower_of(asked) } else { asked };
+            if purse.is_refused {
+                refused.push(account.clone());
+            }
         }
-        self.restrain();
+        self.pending.take_if(|pending| pending.is(record));
+        self.limit_all();
+        refused
     }
 
-    /// Time of the newest record that may have been written.
-    pub const fn stamped(&self) -> Option<Instant> {
-        self.stamped
+    /// Record that was planned and was not read from the log yet.
+    pub fn pending(&self) -> Option<&HolderRecord> {
+        self.pending.as_ref().map(|pending| &pending.record)
     }
 
-    /// Returns to the ceilings of `newest`, this holder's record, after a write that did not take effect.
-    pub fn restore(&mut self, newest: Option<&HolderRecord>) {
-        if let Some(planned) = self.planned.take() {
-            self.stamped = planned.before;
+    /// Forgets the pending record, which was not written and never will be.
+    pub fn drop_pending(&mut self) {
+        if let Some(pending) = self.pending.take() {
+            self.stamped = pending.before;
         }
-        if let Some(record) = newest {
-            self.set_ceilings(record);
-        }
-        self.restrain();
+        self.limit_all();
     }
 
-    fn set_ceilings(&mut self, record: &HolderRecord) {
-        for (account, purse) in &mut self.accounts {
-            let holding = record.holdings.get(account).copied().unwrap_or_default();
-            (purse.ceiling, purse.reserve) = (holding.ceiling, holding.reserve);
-        }
+    /// Time of the newest record that may have been written.
+    pub const fn stamped(&self) -> Option<Instant> {
+        self.stamped
     }
 
-    fn lower(&mut self, record: &HolderRecord) {
+    /// Puts in force what the log grants, or what a pending record asks for where that is lower.
+    fn limit_all(&mut self) {
         for (account, purse) in &mut self.accounts {
-            let holding = record.holdings.get(account).copied().unwrap_or_default();
-            purse.ceiling = purse.ceiling.min(holding.ceiling);
-            purse.reserve = purse.reserve.min(holding.reserve);
-        }
-    }
-
-    fn restrain(&mut self) {
-        for (_, record) in self.pending.clone() {
-            self.lower(&record);
+            let pending = self.pending.as_ref().map(|pending| Limit::of(&pending.record, account));
+            purse.limit = pending.map_or(purse.granted, |asked| purse.granted.lower_of(asked));
         }
     }
 }
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::{
-    AccountUse, CeilingPolicy, CreditBook, HolderRecord, Holding, ISOLATION, Purses, ReserveOutcome, Stake, instance_of,
+    AccountUse, CeilingPolicy, CreditBook, HolderRecord, Holding, ISOLATION, Purses, RecordNote, ReserveOutcome, Stake,
+    instance_of,
 };
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::units::{Instant, Offset, Tokens};
@@ -22,26 +23,41 @@
     ClientAccountName::from("clinic")
 }
 
-/// The store: an ordered log of records, and writes whose answer was lost and that may still take effect.
+/// The store: an ordered log of records, and writes whose answer was lost and that may still take effect in their turn.
 #[derive(Default)]
 struct Log {
     records: Vec<Keyed>,
-    late: Vec<(Offset, Vec<Keyed>)>,
+    late: Vec<Write>,
+    turns: BTreeMap<Arc<str>, u64>,
 }
 
 type Keyed = (Arc<str>, HolderRecord);
 
+/// Records that a writer sent in one turn.
+#[derive(Clone)]
+struct Write {
+    writer: Arc<str>,
+    turn: u64,
+    records: Vec<Keyed>,
+}
+
 impl Log {
     fn end(&self) -> Offset {
         Offset(self.records.len() as u64)
     }
 
-    fn append(&mut self, at: Offset, records: Vec<Keyed>) -> bool {
-        let fits = at == self.end();
-        if fits {
-            self.records.extend(records);
+    /// Takes a write whose turn it is; a second sending of one that was taken changes nothing.
+    fn append(&mut self, write: Write) {
+        let turn = self.turns.entry(write.writer).or_default();
+        if write.turn == *turn {
+            *turn += 1;
+            self.records.extend(write.records);
         }
-        fits
+    }
+
+    /// Newest record of each holder.
+    fn newest(&self) -> BTreeMap<Arc<str>, HolderRecord> {
+        self.records.iter().cloned().collect()
     }
 }
 
@@ -53,6 +69,8 @@
     started: Instant,
     document: u64,
     is_cut: bool,
+    turn: u64,
+    unsure: Option<Write>,
 }
 
 /// A small fleet around one account, with true time and a wall clock an instance that may be wrong.
@@ -99,6 +117,8 @@
             started: self.now,
             document: 0,
             is_cut: false,
+            turn: 0,
+            unsure: None,
         }
     }
 
@@ -107,48 +127,58 @@
         u64::try_from(true_time + self.walls[at]).unwrap()
     }
 
-    /// One renewal as the keeper does it; `lost` loses the answer, `late` also delays the effect.
-    fn renew(&mut self, at: usize, lost: bool, late: bool) {
+    /// Reads the log as the keeper does: in order, or the newest records when those before were dropped.
+    fn read(&mut self, at: usize, is_list: bool) {
+        let (now, prepaid) = (self.now, Tokens(self.prepaid));
+        let Some(run) = self.runs[at].as_mut().filter(|run| !run.is_cut) else { return };
+        let from = usize::try_from(run.book.next().0).unwrap();
+        let records = if is_list { self.log.newest().into_iter().collect() } else { self.log.records[from..].to_vec() };
+        for (name, record) in records {
+            if name == run.name && is_list {
+                run.purses.take_newest(&record);
+            } else if name == run.name {
+                run.purses.take_own(&record, &run.book, run.document, |_| Some(prepaid));
+            }
+            run.book.apply(&name, record, now);
+        }
+        run.book.advance(self.log.end());
+    }
+
+    /// Plans on what was read and writes it; `lost` loses the answer, `late` also delays the effect.
+    fn write(&mut self, at: usize, lost: bool, late: bool) {
         let (now, stamp) = (self.now, self.wall(at, self.now));
         let clocks = self.clocks_at(at);
         let prepaid = Tokens(self.prepaid);
         let Some(run) = self.runs[at].as_mut().filter(|run| !run.is_cut) else { return };
-        for (name, record) in &self.log.records[usize::try_from(run.book.next().0).unwrap()..] {
-            run.book.apply(name, record.clone(), now);
-        }
-        run.book.advance(self.log.end());
-        run.purses.read_back(run.book.record(&run.name), run.book.next());
         let own = instance_of(&run.name);
-        let dead = run.book.predecessors(&run.name);
-        let mut records: Vec<_> = dead
-            .into_iter()
-            .map(|(name, record)| (name, record.ended(record.has_reserve_unused(own, &clocks))))
-            .collect();
         let account = account();
-        let next = run.purses.plan(&run.book, run.document, [(&account, prepaid)], now, stamp, true);
-        records.extend(next.map(|record| (Arc::clone(&run.name), record)));
-        let end = run.book.next();
-        let own_record = records.last().map(|(_, record)| record.clone()).unwrap();
-        match (lost, late) {
-            (true, true) => {
-                self.log.late.push((end, records));
-                run.purses.note_unknown(end, own_record);
-            }
-            (true, false) => {
-                self.log.append(end, records);
-                run.purses.note_unknown(end, own_record);
-            }
-            (false, _) => {
-                assert!(self.log.append(end, records.clone()));
-                for (name, record) in records {
-                    run.book.apply(&name, record, now);
-                }
-                run.book.advance(self.log.end());
-                run.purses.confirm(&own_record);
-            }
+        let write = run.unsure.take().unwrap_or_else(|| {
+            let dead = run.book.predecessors(&run.name);
+            let end = |record: HolderRecord| record.ended(record.has_reserve_unused(own, &clocks));
+            let mut records: Vec<_> = dead.into_iter().map(|(name, record)| (name, end(record))).collect();
+            let note = RecordNote { document: run.document, stamp, ..RecordNote::default() };
+            let next = run.purses.plan(&run.book, note, [(&account, prepaid)], now, true);
+            records.extend(next.map(|record| (Arc::clone(&run.name), record)));
+            Write { writer: Arc::clone(&run.name), turn: run.turn, records }
+        });
+        if lost {
+            run.unsure = Some(write.clone());
+        } else {
+            run.turn += 1;
+        }
+        match lost && late {
+            true => self.log.late.push(write),
+            false => self.log.append(write),
         }
     }
 
+    /// One renewal with nothing in between.
+    fn renew(&mut self, at: usize) {
+        self.read(at, false);
+        self.write(at, false, false);
+        self.read(at, false);
+    }
+
     fn clocks_at(&self, at: usize) -> BTreeMap<Arc<str>, u64> {
         let Some(started) = self.runs[at].as_ref().map(|run| run.started) else { return BTreeMap::new() };
         let alive = |other: &usize| self.runs[*other].is_some();
@@ -166,8 +196,8 @@
     }
 
     fn take_effect(&mut self) {
-        if let Some((at, records)) = self.log.late.pop() {
-            self.log.append(at, records);
+        if let Some(write) = self.log.late.pop() {
+            self.log.append(write);
         }
     }
 
@@ -241,7 +271,9 @@
 #[derive(Clone, Debug)]
 enum Step {
     Pass(u64),
-    Renew(usize, bool, bool),
+    Read(usize, bool),
+    Write(usize, bool, bool),
+    Renew(usize),
     TakeEffect,
     Cut(usize, bool),
     CutAll(bool),
@@ -261,7 +293,9 @@
     let instance = 0..INSTANCES;
     prop_oneof![
         8 => (10_u64..1_500).prop_map(Step::Pass),
-        12 => (instance.clone(), prop::bool::weighted(0.1), any::<bool>()).prop_map(|(at, lost, late)| Step::Renew(at, lost, late)),
+        8 => (instance.clone(), prop::bool::weighted(0.1)).prop_map(|(at, is_list)| Step::Read(at, is_list)),
+        8 => (instance.clone(), prop::bool::weighted(0.1), any::<bool>()).prop_map(|(at, lost, late)| Step::Write(at, lost, late)),
+        4 => instance.clone().prop_map(Step::Renew),
         2 => Just(Step::TakeEffect),
         2 => (instance.clone(), any::<bool>()).prop_map(|(at, cut)| Step::Cut(at, cut)),
         1 => any::<bool>().prop_map(Step::CutAll),
@@ -284,7 +318,9 @@
 fn play(world: &mut World, step: Step) {
     match step {
         Step::Pass(ms) => world.now = world.now.after(Duration::from_millis(ms)),
-        Step::Renew(at, lost, late) => world.renew(at, lost, late),
+        Step::Read(at, is_list) => world.read(at, is_list),
+        Step::Write(at, lost, late) => world.write(at, lost, late),
+        Step::Renew(at) => world.renew(at),
         Step::TakeEffect => world.take_effect(),
         Step::Cut(at, cut) => {
             if let Some(run) = &mut world.runs[at] {
@@ -329,7 +365,7 @@
 fn settled() -> World {
     let mut world = World::new(CeilingPolicy::default());
     for _ in 0..3 {
-        (0..INSTANCES).for_each(|at| world.renew(at, false, false));
+        (0..INSTANCES).for_each(|at| world.renew(at));
         world.now = world.now.after(Duration::from_millis(100));
     }
     world
@@ -364,7 +400,7 @@
     (0..INSTANCES).for_each(|at| world.kill(at));
     world.now = world.now.after(Duration::from_millis(1_500));
     (0..INSTANCES).for_each(|at| world.start(at));
-    (0..INSTANCES).for_each(|at| world.renew(at, false, false));
+    (0..INSTANCES).for_each(|at| world.renew(at));
     let closed = world.log.records.iter().filter(|(_, record)| record.closed).count();
     assert_eq!((closed, reserve(&world)), (INSTANCES, 0));
 }
@@ -375,7 +411,7 @@
     world.kill(0);
     world.now = world.now.after(ISOLATION);
     world.start(0);
-    world.renew(0, false, false);
+    world.renew(0);
     let (_, ended) = world.log.records.iter().find(|(_, record)| record.closed).unwrap();
     assert!(ended.holdings.values().any(|holding| !holding.reserve.is_zero()), "{ended:?}");
 }
@@ -409,7 +445,7 @@
     let (_, _, allowed) = run.purses.view(&account());
     assert!(!allowed.is_zero());
     world.prepaid = 10;
-    world.renew(1, false, false);
+    world.renew(1);
     let run = world.runs[1].as_mut().unwrap();
     assert_eq!(run.purses.view(&account()).2, Tokens::ZERO);
     assert_ne!(run.purses.reserve(&account(), Tokens(5), Tokens(10), world.now), ReserveOutcome::Reserved);
@@ -420,10 +456,10 @@
     let mut world = settled();
     world.version = 3;
     world.read_document(1);
-    world.renew(1, false, false);
+    world.renew(1);
     world.prepaid = PREPAID * 10;
     let before = world.runs[0].as_ref().unwrap().purses.view(&account()).2;
-    world.renew(0, false, false);
+    world.renew(0);
     let after = world.runs[0].as_ref().unwrap().purses.view(&account()).2;
     assert!(after <= before, "a holder behind the others' document raised its ceiling from {before} to {after}");
 }
@@ -436,8 +472,8 @@
     spend_all(&mut world, 0);
     world.version = 7;
     world.read_document(1);
-    world.renew(1, false, false);
-    world.renew(0, false, false);
+    world.renew(1);
+    world.renew(0);
     let newest: BTreeMap<_, _> = world.log.records.iter().cloned().collect();
     let covered: u64 = newest["edge-0/1"].holdings.values().map(|holding| holding.bound().0).sum();
     let (used, reserved, _) = world.runs[0].as_ref().unwrap().purses.view(&account());
@@ -453,7 +489,7 @@
     let now = Instant(Duration::from_secs(5));
     book.apply(&other, HolderRecord { holdings, ..HolderRecord::default() }, now);
     let mut purses = Purses::new("edge-0/1".into(), CeilingPolicy::default());
-    purses.plan(&book, 0, [(&account(), Tokens(1_000))], now, 1, true);
+    purses.plan(&book, RecordNote::default(), [(&account(), Tokens(1_000))], now, true);
     assert_eq!(purses.reserve(&account(), Tokens(11), Tokens(1_000), now), ReserveOutcome::Exhausted);
     assert_eq!(purses.reserve(&account(), Tokens(10), Tokens(1_000), now), ReserveOutcome::Short);
 }
@@ -475,11 +511,10 @@
     let mut world = settled();
     let run = world.runs[0].as_mut().unwrap();
     run.purses.borrow(&account(), Tokens(PREPAID / 2));
-    let (name, prepaid, account) = (Arc::clone(&run.name), Tokens(PREPAID), account());
-    let first = run.purses.plan(&run.book, 1, [(&account, prepaid)], world.now, 1, true).unwrap();
-    run.book.apply(&name, first.clone(), world.now);
-    run.purses.confirm(&first);
-    let second = run.purses.plan(&run.book, 1, [(&account, prepaid)], world.now, 1, false);
+    world.renew(0);
+    let run = world.runs[0].as_mut().unwrap();
+    let note = RecordNote { document: 1, stamp: 1, ..RecordNote::default() };
+    let second = run.purses.plan(&run.book, note, [(&account(), Tokens(PREPAID))], world.now, false);
     assert_eq!(second, None);
 }
 
@@ -514,3 +549,31 @@
     let use_of = AccountUse { account: &account, used: Tokens(100), prepaid };
     assert_eq!(small.stake(&names[0], use_of, now, silence), Stake::Share(6));
 }
+
+/// Raises that fit singly were appended before any holder read another's.
+#[test]
+fn first_raises_count() {
+    let mut world = World::new(GREEDY);
+    (0..INSTANCES).for_each(|at| world.read(at, false));
+    (0..INSTANCES).for_each(|at| world.write(at, false, false));
+    (0..INSTANCES).for_each(|at| world.read(at, false));
+    let allowed = |world: &World, at: usize| world.runs[at].as_ref().unwrap().purses.view(&account()).2;
+    assert!(!allowed(&world, 0).is_zero(), "the first raise in the log fits");
+    assert!(allowed(&world, INSTANCES - 1).is_zero(), "the last raise does not fit beside those before it");
+    (0..INSTANCES).for_each(|at| world.drain(at));
+    world.renew(0);
+    world.renew(INSTANCES - 1);
+    assert!(world.used() <= PREPAID);
+}
+
+/// A write that was thought lost takes effect after a later one of the same holder.
+#[test]
+fn late_write() {
+    let mut world = settled();
+    world.write(0, true, true);
+    world.write(0, false, false);
+    world.read(0, false);
+    let records = world.log.records.len();
+    world.take_effect();
+    assert_eq!(world.log.records.len(), records, "a write took effect out of its turn");
+}
--- a/crates/serving/src/borders.rs
+++ b/crates/serving/src/borders.rs
@@ -72,9 +72,23 @@
     /// The records asked for were dropped.
     #[display("records were dropped")]
     Trimmed,
-    /// A conditional write came too late; the stream ends here by now.
-    #[display("the stream ends at {_0}")]
-    Moved(#[error(not(source))] Offset),
+    /// A write came out of its turn and took no effect.
+    #[display("out of turn: {_0}")]
+    OutOfTurn(#[error(not(source))] String),
+}
+
+/// Place of a write among all writes of one writer to a topic.
+///
+/// Each takes effect at most once and in order, so one whose end is unknown is sent again in the same turn, and can no
+/// longer take effect once a later one did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// Name that no other writer uses.
+    pub writer: Arc<str>,
+    /// Sequence of turns; a higher one ends those below.
+    pub epoch: u64,
+    /// Number within the epoch, from 0 without gaps.
+    pub number: u64,
 }
 
 /// Store of keyed records.
@@ -85,11 +99,11 @@
     /// Reads records from `from` on, waiting up to `wait` for the first.
     fn read(&self, topic: Topic, from: Offset, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>>;
 
-    /// Appends all records or none, with `at` only if the stream ends there, and returns the new end.
+    /// Appends all records or none, in its turn if it has one, and returns the stream's end after them.
     fn append(
         &self,
         topic: Topic,
-        at: Option<Offset>,
+        turn: Option<Turn>,
         records: Vec<KeyedRecord>,
     ) -> BoxFuture<'_, Result<Offset, StoreError>>;
 }
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -55,14 +55,16 @@
     CeilingsWritten,
     /// A write of ceilings has an unknown end.
     CeilingsUnsure,
-    /// Another instance wrote first.
-    CeilingsMoved,
     /// Room was lent to another instance, or refused to it.
     CreditLent,
     /// Room was borrowed from another instance, or refused by it.
     CreditBorrowed,
     /// The credit of this instance's earlier run was brought to an end.
     RunEnded,
+    /// A raise does not fit beside the records before it.
+    RaiseRefused,
+    /// A write came out of its turn.
+    TurnLost,
     /// A request is suspected of crashing backend servers.
     Suspected,
     /// Another instance was listed.
@@ -101,10 +103,11 @@
         Self::StreamCut,
         Self::CeilingsWritten,
         Self::CeilingsUnsure,
-        Self::CeilingsMoved,
         Self::CreditLent,
         Self::CreditBorrowed,
         Self::RunEnded,
+        Self::RaiseRefused,
+        Self::TurnLost,
         Self::Suspected,
         Self::PeerListed,
         Self::PeerLinked,
@@ -139,10 +142,11 @@
             Self::StreamCut => "CP1306",
             Self::CeilingsWritten => "CP1400",
             Self::CeilingsUnsure => "CP1401",
-            Self::CeilingsMoved => "CP1402",
             Self::CreditLent => "CP1403",
             Self::CreditBorrowed => "CP1404",
             Self::RunEnded => "CP1405",
+            Self::RaiseRefused => "CP1406",
+            Self::TurnLost => "CP1407",
             Self::Suspected => "CP1500",
             Self::PeerListed => "CP1600",
             Self::PeerLinked => "CP1601",
@@ -162,6 +166,7 @@
             | Self::SendFailed
             | Self::StreamCut
             | Self::CeilingsUnsure
+            | Self::TurnLost
             | Self::Suspected
             | Self::PeerLost => Level::Warn,
             _ => Level::Info,
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -9,23 +9,23 @@
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::{
-    AccountUse, CeilingPolicy, CreditBook, HolderRecord, Holding, Loan, Purses, ReserveOutcome, Stake, WRITE_EVERY,
-    instance_of,
+    AccountUse, CeilingPolicy, CreditBook, HolderRecord, Holding, Loan, Purses, RecordNote, ReserveOutcome, Stake,
+    WRITE_EVERY, instance_of,
 };
 use coltsfootpick_core::names::ClientAccountName;
+use coltsfootpick_core::quarantine::SuspectNews;
 use coltsfootpick_core::refusal::{Code, Refusal};
-use coltsfootpick_core::units::{Offset, Tokens};
+use coltsfootpick_core::units::{Instant as BoardInstant, Offset, Tokens};
 use coltsfootpick_wire::ceilings::HolderMessage;
 use parking_lot::Mutex;
 use prost::Message;
-use rand::RngExt;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::board::Board;
-use crate::borders::{KeyedLog, KeyedRecord, StoreError, Topic};
+use crate::borders::{KeyedLog, KeyedRecord, StoreError, Topic, Turn};
 use crate::events::Event;
 use crate::feed::read_newest;
 use crate::fleet_event;
@@ -45,13 +45,6 @@
 /// Least time between two renewals, so that requests that wait together share one.
 const RENEW_GAP: Duration = Duration::from_millis(40);
 
-/// Longest random pause after another instance wrote first; it doubles with each further time, since 67 instances
-/// otherwise lose 16 writes for each that succeeds.
-const MOVED_PAUSE_MS: u64 = 25;
-
-/// Doublings of that pause.
-const MOVED_DOUBLINGS: u32 = 4;
-
 /// Pause after the store did not take a write.
 const LOST_PAUSE: Duration = Duration::from_millis(250);
 
@@ -86,8 +79,11 @@
 /// Peers whose clocks are asked for.
 const CLOCKS_ASKED: usize = 8;
 
-/// Reads and writes tried for one renewal.
-const TRIES_MAX: u32 = 12;
+/// Age of what was read up to which a record is planned without reading first.
+const READ_AGE: Duration = Duration::from_millis(600);
+
+/// Writes tried for the last record of a run.
+const TRIES_MAX: u32 = 3;
 
 /// Tokens set aside for one request; dropped, it settles what was used.
 #[derive(Debug)]
@@ -130,16 +126,35 @@
     poor: Mutex<BTreeMap<(Arc<str>, ClientAccountName), Instant>>,
     started: Instant,
     clocks: Mutex<BTreeMap<Arc<str>, u64>>,
+    outbox: Mutex<Outbox>,
+    read_at: Mutex<Option<Instant>>,
     wanted: Notify,
     renewed: watch::Sender<u64>,
     reachable: AtomicBool,
 }
 
-/// Why a renewal did not come to an end.
+/// Writes of this run: the turn that is due, and records that may or may not have been written in it.
+#[derive(Debug)]
+struct Outbox {
+    epoch: u64,
+    number: u64,
+    unsure: Option<Batch>,
+}
+
+impl Default for Outbox {
+    fn default() -> Self {
+        Self { epoch: 1, number: 0, unsure: None }
+    }
+}
+
+/// Records of this run, and of runs before it on the same instance, that are written together.
+type Batch = Vec<(Arc<str>, HolderRecord)>;
+
+/// How a renewal ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Renewal {
     Done,
     Lost,
-    Moved,
 }
 
 impl CreditKeeper {
@@ -155,6 +170,8 @@
             purses: Mutex::new(Purses::new(holder, policy)),
             book: Mutex::default(),
             policy,
+            outbox: Mutex::default(),
+            read_at: Mutex::default(),
             wanted: Notify::new(),
             renewed: watch::Sender::new(0),
             reachable: AtomicBool::new(false),
@@ -301,7 +318,7 @@
     async fn renew_always(self: &Arc<Self>) {
         let mut versions = self.board.versions();
         while self.board.table().is_none() && versions.changed().await.is_ok() {}
-        while !matches!(self.renew(true).await, Renewal::Done) {
+        while self.renew(true).await != Renewal::Done {
             tokio::time::sleep(LOST_PAUSE).await;
         }
         if self.book.lock().is_young() {
@@ -311,7 +328,6 @@
             let pause = match self.renew(false).await {
                 Renewal::Done if self.has_dead_runs() => CLOCKS_EVERY,
                 Renewal::Done => WRITE_EVERY,
-                Renewal::Moved => RENEW_GAP,
                 Renewal::Lost => LOST_PAUSE,
             };
             tokio::time::sleep(RENEW_GAP).await;
@@ -387,52 +403,65 @@
     /// Gives back everything above what was used; true once the store has it.
     pub async fn close(&self) -> bool {
         let document = self.board.table().map_or(0, |table| table.version());
-        let record = self.purses.lock().close(document);
         for _ in 0..TRIES_MAX {
-            if self.read().await.is_err() {
-                return false;
-            }
-            let holder = self.holder();
-            match self.write(vec![(holder, record.clone())]).await {
-                Renewal::Done => return true,
-                Renewal::Lost => return false,
-                Renewal::Moved => {}
+            let unsure = self.outbox.lock().unsure.clone();
+            let is_last = unsure.is_none();
+            let records = unsure.unwrap_or_else(|| vec![(self.holder(), self.purses.lock().close(document))]);
+            if self.write(records).await == Renewal::Done && is_last {
+                return true;
             }
         }
         false
     }
 
     /// Brings the ceilings up to date; an announcement holds no ceilings and only tells that the holder lives.
+    ///
+    /// A record whose write had no known end is written again first, in the same turn.
     async fn renew(self: &Arc<Self>, announces: bool) -> Renewal {
-        for tries in 0..TRIES_MAX {
-            if let Err(error) = self.read().await {
-                self.note_reach(false, &error.to_string());
-                return Renewal::Lost;
-            }
-            self.note_reach(true, "");
-            let mut records = self.ended_runs();
-            let holder = self.holder();
-            records.extend(self.plan(announces).map(|record| (holder, self.tell_suspects(record))));
-            if records.is_empty() {
+        let unsure = self.outbox.lock().unsure.clone();
+        if let Some(records) = unsure
+            && self.write(records).await == Renewal::Lost
+        {
+            return Renewal::Lost;
+        }
+        let is_read = !self.has_read() || self.purses.lock().pending().is_some();
+        if is_read && self.read_all().await == Renewal::Lost {
+            return Renewal::Lost;
+        }
+        let mut records = self.ended_runs();
+        let holder = self.holder();
+        records.extend(self.plan(announces).map(|record| (holder, record)));
+        match records.is_empty() {
+            true if is_read => Renewal::Done,
+            false if self.write(records).await == Renewal::Lost => Renewal::Lost,
+            _ => self.read_all().await,
+        }
+    }
+
+    /// Whether the log was read so lately that a record can be planned at once; raises are judged when they are read.
+    fn has_read(&self) -> bool {
+        self.read_at.lock().is_some_and(|at| at.elapsed() < READ_AGE)
+    }
+
+    async fn read_all(&self) -> Renewal {
+        match self.read().await {
+            Ok(()) => {
+                self.note_reach(true, "");
                 self.renewed.send_modify(|count| *count += 1);
-                return Renewal::Done;
+                Renewal::Done
             }
-            match self.write(records).await {
-                Renewal::Moved => {
-                    let pause = rand::rng().random_range(1..=MOVED_PAUSE_MS << tries.min(MOVED_DOUBLINGS));
-                    tokio::time::sleep(Duration::from_millis(pause)).await;
-                }
-                ended => return ended,
+            Err(error) => {
+                self.note_reach(false, &error.to_string());
+                Renewal::Lost
             }
         }
-        Renewal::Moved
     }
 
-    fn tell_suspects(&self, record: HolderRecord) -> HolderRecord {
+    fn suspects_told(&self) -> Vec<SuspectNews> {
         let mut suspects = self.board.quarantine.lock().news(self.board.clock.now());
         suspects.sort_by_key(|news| std::cmp::Reverse(news.left));
         suspects.truncate(SUSPECTS_TOLD);
-        HolderRecord { suspects, ..record }
+        suspects
     }
 
     fn plan(&self, announces: bool) -> Option<HolderRecord> {
@@ -440,14 +469,16 @@
         let version = table.as_ref().map_or(0, |table| table.version());
         let stamp = self.board.clock.wall();
         let write_every = self.write_every();
+        let suspects = self.suspects_told();
         let (book, mut purses) = (self.book.lock(), self.purses.lock());
+        let note = RecordNote { document: version, stamp, suspects };
         if announces {
-            return purses.plan(&book, version, [], now, stamp, true);
+            return purses.plan(&book, note, [], now, true);
         }
         let limited = table.iter().flat_map(|table| table.accounts());
         let limited = limited.filter_map(|account| account.prepaid.map(|prepaid| (&account.name, prepaid)));
         let is_old = purses.stamped().is_none_or(|at| now.since(at) >= write_every);
-        purses.plan(&book, version, limited, now, stamp, is_old)
+        purses.plan(&book, note, limited, now, is_old)
     }
 
     /// Reads every record that was written since.
@@ -457,83 +488,93 @@
             Offset(0) => Err(StoreError::Trimmed),
             from => self.log.read(Topic::Credit, from, Duration::ZERO).await.map(|batch| (batch.records, batch.next)),
         };
+        let is_list = matches!(read, Err(StoreError::Trimmed));
         let (records, next) = match read {
             Err(StoreError::Trimmed) => read_newest(&*self.log, Topic::Credit).await?,
             read => read?,
         };
         let now = self.board.clock.now();
-        let mut book = self.book.lock();
+        let (mut book, mut purses) = (self.book.lock(), self.purses.lock());
         for record in records {
-            self.apply(&mut book, record, now);
+            self.apply(&mut book, &mut purses, record, is_list, now);
         }
         book.advance(next);
-        let mut purses = self.purses.lock();
+        *self.read_at.lock() = Some(Instant::now());
         let holder = Arc::clone(purses.holder());
         self.board.note_fleet(book.alive(&holder, now, self.policy.silence) + 1);
-        purses.read_back(book.record(&holder), book.next());
         Ok(())
     }
 
-    fn apply(&self, book: &mut CreditBook, record: KeyedRecord, now: coltsfootpick_core::units::Instant) {
+    fn apply(&self, book: &mut CreditBook, purses: &mut Purses, record: KeyedRecord, is_list: bool, now: BoardInstant) {
         let Some(value) = record.value else { return };
-        match HolderMessage::decode(value) {
-            Ok(message) => {
-                let decoded = HolderRecord::from(message);
-                self.board.quarantine.lock().take_news(decoded.suspects.clone(), now);
-                book.apply(&record.key, decoded, now);
+        let decoded = match HolderMessage::decode(value) {
+            Ok(message) => HolderRecord::from(message),
+            Err(error) => {
+                fleet_event!(Event::RecordSkipped, "topic=credit key={:?} reason={error}", record.key);
+                return;
             }
-            Err(error) => fleet_event!(Event::RecordSkipped, "topic=credit key={:?} reason={error}", record.key),
+        };
+        if record.key == *purses.holder() {
+            self.take_own(book, purses, &decoded, is_list);
         }
+        self.board.quarantine.lock().take_news(decoded.suspects.clone(), now);
+        book.apply(&record.key, decoded, now);
     }
 
-    /// Writes records of this run, or of runs before it, where the log was read to.
-    async fn write(&self, records: Vec<(Arc<str>, HolderRecord)>) -> Renewal {
-        let at = self.book.lock().next();
-        let holder = self.holder();
+    fn take_own(&self, book: &CreditBook, purses: &mut Purses, record: &HolderRecord, is_list: bool) {
+        if is_list {
+            purses.take_newest(record);
+            return;
+        }
+        let table = self.board.table();
+        let version = table.as_ref().map_or(0, |table| table.version());
+        let prepaid = |account: &ClientAccountName| table.as_ref()?.account(account)?.prepaid;
+        for account in purses.take_own(record, book, version, prepaid) {
+            fleet_event!(Event::RaiseRefused, "account={account} stamp={} document={version}", record.stamp);
+        }
+    }
+
+    /// Writes records of this run, or of runs before it, in the turn that is due.
+    async fn write(&self, records: Batch) -> Renewal {
+        // The records are unsure from now on, since a stop may drop this call at any point.
+        let (turn, was_unsure) = {
+            let mut outbox = self.outbox.lock();
+            let was_unsure = outbox.unsure.replace(records.clone()).is_some();
+            (Turn { writer: self.holder(), epoch: outbox.epoch, number: outbox.number }, was_unsure)
+        };
         let keyed = records.iter().map(|(name, record)| {
             let value = Some(HolderMessage::from(record).encode_to_vec().into());
             KeyedRecord { key: Arc::clone(name), value }
         });
-        match self.log.append(Topic::Credit, Some(at), keyed.collect()).await {
+        let appended = self.log.append(Topic::Credit, Some(turn.clone()), keyed.collect()).await;
+        let mut outbox = self.outbox.lock();
+        let error = match appended {
             Ok(end) => {
-                let now = self.board.clock.now();
+                *outbox = Outbox { epoch: turn.epoch, number: turn.number + 1, unsure: None };
                 for (name, record) in &records {
-                    self.book.lock().apply(name, record.clone(), now);
-                    if *name == holder {
-                        self.purses.lock().confirm(record);
-                    }
                     fleet_event!(Event::CeilingsWritten, "run={name} {}", describe(record, end));
                 }
-                self.book.lock().advance(end);
-                self.renewed.send_modify(|count| *count += 1);
-                Renewal::Done
+                return Renewal::Done;
             }
-            Err(StoreError::Moved(end)) => {
-                fleet_event!(Event::CeilingsMoved, "at={at} end={end}");
-                self.restore();
-                Renewal::Moved
+            // An earlier sending of the same records may still take effect, whatever became of this one.
+            Err(StoreError::Unavailable(error)) if !was_unsure => {
+                outbox.unsure = None;
+                self.purses.lock().drop_pending();
+                error
             }
-            Err(StoreError::Unknown(error)) => {
-                fleet_event!(Event::CeilingsUnsure, "at={at} error={error:?}");
-                for (_, record) in records.into_iter().filter(|(name, _)| *name == holder) {
-                    self.purses.lock().note_unknown(at, record);
-                }
-                self.note_reach(false, &error);
-                Renewal::Lost
+            Err(StoreError::OutOfTurn(error)) => {
+                fleet_event!(Event::TurnLost, "epoch={} number={} reason={error:?}", turn.epoch, turn.number);
+                *outbox = Outbox { epoch: turn.epoch + 1, number: 0, unsure: Some(records) };
+                error
             }
             Err(error) => {
-                self.restore();
-                self.note_reach(false, &error.to_string());
-                Renewal::Lost
+                fleet_event!(Event::CeilingsUnsure, "turn={} again={was_unsure} error={error}", turn.number);
+                error.to_string()
             }
-        }
-    }
-
-    /// Returns to the ceilings of this holder's newest record after a write that did not take effect.
-    fn restore(&self) {
-        let (book, mut purses) = (self.book.lock(), self.purses.lock());
-        let holder = Arc::clone(purses.holder());
-        purses.restore(book.record(&holder));
+        };
+        drop(outbox);
+        self.note_reach(false, &error);
+        Renewal::Lost
     }
 
     fn note_reach(&self, is_reached: bool, error: &str) {
--- a/crates/testkit/src/keyed_store.rs
+++ b/crates/testkit/src/keyed_store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coltsfootpick_core::units::Offset;
-use coltsfootpick_serving::borders::{KeyedLog, KeyedRecord, NewestPage, RecordBatch, StoreError, Topic};
+use coltsfootpick_serving::borders::{KeyedLog, KeyedRecord, NewestPage, RecordBatch, StoreError, Topic, Turn};
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -35,11 +35,20 @@
     kept: usize,
 }
 
-type LateWrite = (Topic, Option<Offset>, Vec<KeyedRecord>);
+type LateWrite = (Topic, Option<Turn>, Vec<KeyedRecord>);
+
+/// Newest turn of a writer, and the end of the stream after it.
+#[derive(Clone, Copy, Debug)]
+struct Taken {
+    epoch: u64,
+    number: u64,
+    end: Offset,
+}
 
 #[derive(Debug, Default)]
 struct State {
     streams: BTreeMap<&'static str, Stream>,
+    turns: BTreeMap<(&'static str, Arc<str>), Taken>,
     late: Vec<LateWrite>,
     fault: Fault,
     calls: usize,
@@ -87,11 +96,11 @@
         stream.kept = stream.records.len();
     }
 
-    /// Lets late writes take effect whose condition still holds.
+    /// Lets late writes take effect whose turn it still is.
     pub fn take_effect(&self) {
         let mut state = self.state.lock();
-        for (topic, at, records) in std::mem::take(&mut state.late) {
-            let _ = write(&mut state, topic, at, records);
+        for (topic, turn, records) in std::mem::take(&mut state.late) {
+            let _ = write(&mut state, topic, turn, records);
         }
     }
 
@@ -114,14 +123,21 @@
     newest
 }
 
-fn write(state: &mut State, topic: Topic, at: Option<Offset>, records: Vec<KeyedRecord>) -> Result<Offset, StoreError> {
+fn write(state: &mut State, topic: Topic, turn: Option<Turn>, records: Vec<KeyedRecord>) -> Result<Offset, StoreError> {
     let stream = state.streams.entry(name(topic)).or_default();
-    let end = Offset(stream.records.len() as u64);
-    if at.is_some_and(|at| at != end) {
-        return Err(StoreError::Moved(end));
+    let end = Offset((stream.records.len() + records.len()) as u64);
+    if let Some(Turn { writer, epoch, number }) = turn {
+        let key = (name(topic), writer);
+        match state.turns.get(&key) {
+            Some(taken) if (taken.epoch, taken.number) == (epoch, number) => return Ok(taken.end),
+            Some(taken) if taken.epoch > epoch || (taken.epoch == epoch && taken.number + 1 != number) => {
+                return Err(StoreError::OutOfTurn(format!("{epoch}/{number} after {taken:?}")));
+            }
+            _ => state.turns.insert(key, Taken { epoch, number, end }),
+        };
     }
     stream.records.extend(records);
-    Ok(Offset(stream.records.len() as u64))
+    Ok(end)
 }
 
 impl KeyedStore {
@@ -183,17 +199,17 @@
     fn append(
         &self,
         topic: Topic,
-        at: Option<Offset>,
+        turn: Option<Turn>,
         records: Vec<KeyedRecord>,
     ) -> BoxFuture<'_, Result<Offset, StoreError>> {
         Box::pin(async move {
             self.fail().await?;
             let mut state = self.state.lock();
             if state.fault == Fault::Late {
-                state.late.push((topic, at, records));
+                state.late.push((topic, turn, records));
                 return Err(StoreError::Unknown("late".to_owned()));
             }
-            let written = write(&mut state, topic, at, records);
+            let written = write(&mut state, topic, turn, records);
             self.written.notify_waiters();
             match (state.fault, written) {
                 (Fault::AnswerLost, _) => Err(StoreError::Unknown("lost".to_owned())),
