The log is read after a write only for requests that wait

Cause: a plan without a read first met outages with its stamp, which put the use of reserves off by up to half a second; a read after every write is a call for nothing where no request waits.

--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -79,8 +79,9 @@
 /// Peers whose clocks are asked for.
 const CLOCKS_ASKED: usize = 8;
 
-/// Age of what was read up to which a record is planned without reading first.
-const READ_AGE: Duration = Duration::from_millis(600);
+/// Age of what was read up to which a record is planned without reading first; a plan that meets an outage delays the use
+/// of the reserve.
+const READ_AGE: Duration = Duration::from_millis(100);
 
 /// Writes tried for the last record of a run.
 const TRIES_MAX: u32 = 3;
@@ -432,9 +433,11 @@
         let holder = self.holder();
         records.extend(self.plan(announces).map(|record| (holder, record)));
         match records.is_empty() {
-            true if is_read => Renewal::Done,
+            true => Renewal::Done,
             false if self.write(records).await == Renewal::Lost => Renewal::Lost,
-            _ => self.read_all().await,
+            // What nobody waits for is judged when the log is read next.
+            false if self.purses.lock().is_short() => self.read_all().await,
+            false => Renewal::Done,
         }
     }
 
