--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -398,6 +398,12 @@
     fn lower_of(self, other: Self) -> Self {
         Self { ceiling: self.ceiling.min(other.ceiling), reserve: self.reserve.min(other.reserve) }
     }
+
+    /// Part of this limit that stays within `most`; the reserve gives way first.
+    fn within(self, most: Tokens) -> Self {
+        let ceiling = self.ceiling.min(most);
+        Self { ceiling, reserve: self.reserve.min(most.less(ceiling)) }
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -407,7 +413,7 @@
     /// Granted by the log as far as it was read.
     granted: Limit,
     /// Whether the newest record asks for more than is granted, which others count as held.
-    is_refused: bool,
+    is_cut: bool,
     used: Tokens,
     reserved: Tokens,
     borrowed: Tokens,
@@ -591,7 +597,7 @@
                 ceiling > purse.limit.ceiling && (room < aim.0 / PERCENT * RAISE_BELOW || !purse.wanted.is_zero());
             let is_wide = purse.limit.ceiling > most || room > aim.0 / PERCENT * LOWER_ABOVE + PERCENT;
             let lowers = ceiling < purse.limit.ceiling && is_wide;
-            is_due |= raises || lowers || purse.is_refused;
+            is_due |= raises || lowers || purse.is_cut;
             record.holdings.insert(account.clone(), Holding { ceiling, settled: purse.used, reserve });
         }
         if !is_due {
@@ -614,10 +620,10 @@
     }
 
     /// Takes in this holder's own record where the log has it, after the others' before it, and tells the accounts whose
-    /// raise does not fit.
+    /// raise was cut.
     ///
-    /// A raise counts when it fits beside what the newest records of the others allow them, whether theirs count or not.
-    /// Of two raises that fit singly only the first one in the log counts, and every holder sees the same order.
+    /// A raise counts as far as it fits beside what the newest records of the others ask for, whether theirs count or
+    /// not. Of two raises that fit singly the first one in the log counts whole.
     pub fn take_own(
         &mut self,
         record: &HolderRecord,
@@ -628,33 +634,40 @@
         // A holder behind the others' document does not know what was paid for.
         let is_behind = document < book.newest_document();
         let holder = Arc::clone(&self.holder);
-        self.settle_own(record, |account, asked| {
-            !is_behind && prepaid(account).is_some_and(|prepaid| book.held(&holder, account) + asked.bound() <= prepaid)
+        self.settle_own(record, |account| match prepaid(account) {
+            Some(prepaid) if !is_behind => prepaid.less(book.held(&holder, account)),
+            _ => Tokens::ZERO,
         })
     }
 
     /// Takes in this holder's newest record without knowing what came before it, so that no raise counts.
     pub fn take_newest(&mut self, record: &HolderRecord) {
-        self.settle_own(record, |_, _| false);
+        self.settle_own(record, |_| Tokens::ZERO);
     }
 
     fn settle_own(
         &mut self,
         record: &HolderRecord,
-        fits: impl Fn(&ClientAccountName, Limit) -> bool,
+        fitting: impl Fn(&ClientAccountName) -> Tokens,
     ) -> Vec<ClientAccountName> {
-        let mut refused = Vec::new();
+        let mut cut = Vec::new();
         for (account, purse) in &mut self.accounts {
             let asked = Limit::of(record, account);
-            purse.is_refused = asked.bound() > purse.granted.bound() && !fits(account, asked);
-            purse.granted = if purse.is_refused { purse.granted.lower_of(asked) } else { asked };
-            if purse.is_refused {
-                refused.push(account.clone());
+            let kept = purse.granted.lower_of(asked);
+            let raised = asked.within(fitting(account));
+            purse.is_cut = asked.bound() > purse.granted.bound().max(raised.bound());
+            purse.granted = match purse.is_cut {
+                false => asked,
+                true if raised.bound() > kept.bound() => raised,
+                true => kept,
+            };
+            if purse.is_cut {
+                cut.push(account.clone());
             }
         }
         self.pending.take_if(|pending| pending.is(record));
         self.limit_all();
-        refused
+        cut
     }
 
     /// Record that was planned and was not read from the log yet.
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -61,8 +61,8 @@
     CreditBorrowed,
     /// The credit of this instance's earlier run was brought to an end.
     RunEnded,
-    /// A raise does not fit beside the records before it.
-    RaiseRefused,
+    /// A raise does not fit whole beside the records before it.
+    RaiseCut,
     /// A write came out of its turn.
     TurnLost,
     /// A request is suspected of crashing backend servers.
@@ -106,7 +106,7 @@
         Self::CreditLent,
         Self::CreditBorrowed,
         Self::RunEnded,
-        Self::RaiseRefused,
+        Self::RaiseCut,
         Self::TurnLost,
         Self::Suspected,
         Self::PeerListed,
@@ -145,7 +145,7 @@
             Self::CreditLent => "CP1403",
             Self::CreditBorrowed => "CP1404",
             Self::RunEnded => "CP1405",
-            Self::RaiseRefused => "CP1406",
+            Self::RaiseCut => "CP1406",
             Self::TurnLost => "CP1407",
             Self::Suspected => "CP1500",
             Self::PeerListed => "CP1600",
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -533,7 +533,7 @@
         let version = table.as_ref().map_or(0, |table| table.version());
         let prepaid = |account: &ClientAccountName| table.as_ref()?.account(account)?.prepaid;
         for account in purses.take_own(record, book, version, prepaid) {
-            fleet_event!(Event::RaiseRefused, "account={account} stamp={} document={version}", record.stamp);
+            fleet_event!(Event::RaiseCut, "account={account} stamp={} document={version}", record.stamp);
         }
     }
 
