--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -571,6 +571,8 @@
         if self.pending.is_some() {
             return None;
         }
+        // What others used meanwhile is not read yet, so a reserve would be sized by too small a use of theirs.
+        let was_isolated = self.is_isolated(now);
         let mut is_due = force;
         let witnesses = book.witnesses(&self.holder, now);
         let RecordNote { document, stamp, suspects } = note;
@@ -591,7 +593,7 @@
             let kept = purse.limit.ceiling.max(purse.taken());
             let most = if document < book.newest_document() { most.min(kept) } else { most };
             let ceiling = (purse.taken() + aim).min(most);
-            let reserve = total.less(aim).min(most.less(ceiling));
+            let reserve = if was_isolated { Tokens::ZERO } else { total.less(aim).min(most.less(ceiling)) };
             let room = purse.room(false).0;
             let raises =
                 ceiling > purse.limit.ceiling && (room < aim.0 / PERCENT * RAISE_BELOW || !purse.wanted.is_zero());
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -579,3 +579,16 @@
     world.take_effect();
     assert_eq!(world.log.records.len(), records, "a write took effect out of its turn");
 }
+
+#[test]
+fn no_reserve_on_return() {
+    let mut world = settled();
+    let reserve = |world: &World| world.log.newest()["edge-0/1"].holdings[&account()].reserve;
+    assert!(!reserve(&world).is_zero());
+    world.now = world.now.after(ISOLATION * 2);
+    world.renew(0);
+    assert!(reserve(&world).is_zero(), "a reserve was sized before the others told what they used");
+    world.now = world.now.after(Duration::from_millis(450));
+    world.renew(0);
+    assert!(!reserve(&world).is_zero());
+}
