Callers are sent away from a full network link

Change: an instance counts what it passes on against its link's rate. Above 0.7 it is not ready and closes callers' connections after their answers, above 1.05 it refuses, later ranks first.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod environments;
 pub mod ini;
 pub mod ledger;
+pub mod link;
 pub mod membership;
 pub mod models;
 pub mod names;
--- a/crates/serving/src/board.rs
+++ b/crates/serving/src/board.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use coltsfootpick_core::link::{Link, LinkChange};
 use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::quarantine::Quarantine;
 use coltsfootpick_core::retry::{RetryBudget, RetryShare};
@@ -14,6 +15,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::events::Event;
+use crate::fleet_event;
 use crate::metrics::Metrics;
 use crate::servers::ServerTable;
 
@@ -54,6 +57,8 @@
     pub place: Place,
     /// Bounds of repeats over all instances.
     pub repeats: RepeatBound,
+    /// Bytes a second that its network link carries in one direction, where that is known.
+    pub link_rate: Option<f64>,
 }
 
 /// Bound on arrivals beyond the first of each request, over all instances, in a sliding window.
@@ -80,6 +85,8 @@
     pub clock: FleetClock,
     /// Backend servers.
     pub servers: ServerTable,
+    /// Its network link.
+    pub link: Mutex<Link>,
     /// Requests that crash servers.
     pub quarantine: Mutex<Quarantine>,
     /// Counters and histograms.
@@ -102,6 +109,7 @@
     /// Board of a fresh instance.
     pub fn new(identity: Identity) -> Arc<Self> {
         Arc::new(Self {
+            link: Mutex::new(Link::new(identity.link_rate)),
             identity,
             clock: FleetClock::default(),
             servers: ServerTable::default(),
@@ -152,6 +160,24 @@
         self.listed.load(Ordering::Acquire) && self.table.read().is_some() && !self.draining.is_cancelled()
     }
 
+    /// Whether callers had better send their next request to another instance.
+    pub fn sends_away(&self) -> bool {
+        self.link.lock().is_full() || self.draining.is_cancelled()
+    }
+
+    /// Notes bytes that come from one side of the instance and go on to the other.
+    pub fn note_traffic(&self, bytes: usize, beside: u64) {
+        self.link.lock().note(bytes as u64 + beside, self.clock.now());
+    }
+
+    /// Looks whether the link became full or open; callers are told by the next question for readiness.
+    pub fn look_at_link(&self) {
+        let change = self.link.lock().look(self.clock.now());
+        if let Some(LinkChange { is_full, usage }) = change {
+            fleet_event!(Event::LinkChanged, "full={is_full} usage={usage:.2} open={}", self.open());
+        }
+    }
+
     /// Whether a request that may take until `until` can end here.
     pub fn can_end(&self, until: tokio::time::Instant) -> bool {
         !self.closing.is_cancelled() || self.ends.get().is_some_and(|end| until <= *end)
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -51,6 +51,8 @@
     CallerLeft,
     /// A stream was cut before it was whole.
     StreamCut,
+    /// The network link became full, or carries more again.
+    LinkChanged,
     /// Ceilings were written.
     CeilingsWritten,
     /// A write of ceilings has an unknown end.
@@ -101,6 +103,7 @@
         Self::Refused,
         Self::CallerLeft,
         Self::StreamCut,
+        Self::LinkChanged,
         Self::CeilingsWritten,
         Self::CeilingsUnsure,
         Self::CreditLent,
@@ -140,6 +143,7 @@
             Self::Refused => "CP1304",
             Self::CallerLeft => "CP1305",
             Self::StreamCut => "CP1306",
+            Self::LinkChanged => "CP1307",
             Self::CeilingsWritten => "CP1400",
             Self::CeilingsUnsure => "CP1401",
             Self::CreditLent => "CP1403",
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -432,12 +432,14 @@
         let mut records = self.ended_runs();
         let holder = self.holder();
         records.extend(self.plan(announces).map(|record| (holder, record)));
-        match records.is_empty() {
-            true => Renewal::Done,
-            false if self.write(records).await == Renewal::Lost => Renewal::Lost,
-            // What nobody waits for is judged when the log is read next.
-            false if self.purses.lock().is_short() => self.read_all().await,
-            false => Renewal::Done,
+        if records.is_empty() {
+            return Renewal::Done;
+        }
+        let written = self.write(records).await;
+        // What nobody waits for is judged when the log is read next.
+        match written {
+            Renewal::Done if self.purses.lock().is_short() => self.read_all().await,
+            ended => ended,
         }
     }
 
--- a/crates/serving/src/path.rs
+++ b/crates/serving/src/path.rs
@@ -35,6 +35,9 @@
 /// When a request that came to a stopping instance should come back; another instance takes it at once.
 const DRAINING_BACKOFF: Duration = Duration::from_millis(50);
 
+/// When a request that the link cannot carry should come back; another instance takes it at once.
+const LINK_BACKOFF: Duration = Duration::from_millis(50);
+
 /// Servers tried for one request when none of them ran it.
 const TRIES_MAX: usize = 4;
 
@@ -101,6 +104,7 @@
         if !self.board.can_end(until) {
             return Err(Refusal::not_run(Code::Draining, "the instance is stopping").retry_after(DRAINING_BACKOFF));
         }
+        self.check_link(account.as_ref().and_then(|account| account.rank).unwrap_or(route.rank))?;
         let print = suspects::fingerprint(&request, account.as_ref().map(|account| &account.name), &service);
         suspects::check(&self.board, print)?;
         let charge = self.reserve(&request, account.as_deref(), until).await?;
@@ -111,6 +115,18 @@
         Ok(Accepted { request, route, service, account, stride, print, until, charge, tried, sends, has_run })
     }
 
+    /// Refuses what the link cannot carry; another instance can.
+    fn check_link(&self, rank: u8) -> Result<(), Refusal> {
+        let (link, now) = (*self.board.link.lock(), self.board.clock.now());
+        match link.takes(rank, now) {
+            true => Ok(()),
+            false => {
+                let detail = format!("rank={rank} link-usage={:.2}", link.usage(now));
+                Err(Refusal::not_run(Code::Overloaded, detail).retry_after(LINK_BACKOFF))
+            }
+        }
+    }
+
     async fn reserve(
         &self,
         request: &CallerRequest,
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -63,6 +63,9 @@
     faults.iter().fold(String::new(), |lines, fault| lines + "\n  " + &fault.to_string())
 }
 
+/// Bytes in a megabit.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
 /// Sections of the file, each once.
 const SECTIONS: [&str; 6] = ["instance", "listen", "store", "credit", "repeats", "logs"];
 
@@ -97,6 +100,7 @@
                         ratio: repeats.parsed("ratio", "repeats a request, from 0 to 1").unwrap_or(0.0),
                         slack: u32::try_from(repeats.number("slack", 0..=1_000_000, 0)).ok()?,
                     },
+                    link_rate: instance.parsed("link-mbps", "megabits a second").map(|rate: f64| rate * BYTES_PER_MBIT),
                 },
                 places,
                 callers: address(&mut listen, "callers")?,
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -243,3 +243,20 @@
     let repeats = sent(&servers).saturating_sub(60);
     assert!(repeats <= 60 / 5 + 52 / 6, "{repeats} repeats of 60 requests");
 }
+
+#[tokio::test]
+async fn full_link() {
+    let servers = [ScriptedServer::start(vec![vec![answer(200, "", "done")]]).await];
+    let rig = Rig::with_link("edge-a", &KeyedStore::default(), &[servers[0].address], Some(1_000.0));
+    rig.path.board.note_traffic(10_000, 0);
+    rig.path.board.look_at_link();
+    let refusal = refused(call(&rig, "apply").await);
+    assert_eq!((refusal.run, refusal.code), (Run::NotRun, Code::Overloaded));
+    assert!(refusal.retry.is_some(), "the caller learns when to come back");
+    assert_eq!(sent(&servers), 0);
+    assert!(rig.path.board.sends_away());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    rig.path.board.look_at_link();
+    assert!(!rig.path.board.sends_away(), "callers may stay once the link is free");
+    assert_eq!(relayed(call(&rig, "apply").await).0, 200);
+}
--- a/crates/testkit/src/fleet_rig.rs
+++ b/crates/testkit/src/fleet_rig.rs
@@ -69,7 +69,13 @@
 impl Rig {
     /// Instance `name` over `store`, with servers `a`, `b` and so on at `servers`.
     pub fn start(name: &str, store: &KeyedStore, servers: &[SocketAddr]) -> Self {
-        let identity = Identity { name: name.into(), place: home(), repeats: RepeatBound { ratio: 0.2, slack: 52 } };
+        Self::with_link(name, store, servers, None)
+    }
+
+    /// Same, with a network link that carries `link_rate` bytes a second.
+    pub fn with_link(name: &str, store: &KeyedStore, servers: &[SocketAddr], link_rate: Option<f64>) -> Self {
+        let repeats = RepeatBound { ratio: 0.2, slack: 52 };
+        let identity = Identity { name: name.into(), place: home(), repeats, link_rate };
         let board = Board::new(identity);
         board.put_table(table(1, PREPAID));
         for (address, letter) in servers.iter().zip('a'..) {
