Holders of a large fleet keep reserves too

All of an account lay below ceilings while half of it was unused: holders of a large fleet had ceilings for the whole window and no reserves, and others told their use every 30 s only. Change: with writes in turns holders can write every 450 ms in a large fleet too, so reserves are proven unused there as in a small one; others tell every 5 s; accounts without room or use are left out of records.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -47,7 +47,7 @@
 /// of clocks.
 pub const ISOLATION: Duration = Duration::from_secs(3);
 
-/// Time between two records of a holder in a fleet of a few instances.
+/// Time between two records of a holder.
 pub const WRITE_EVERY: Duration = Duration::from_millis(450);
 
 /// Part of [`ISOLATION`] that is kept for the rounding and drift of clocks.
@@ -337,13 +337,6 @@
     }
 }
 
-impl CeilingPolicy {
-    /// Policy of a holder in a large fleet, where records are too rare to prove a reserve unused.
-    const fn large(&self) -> Self {
-        Self { base: self.share, ..*self }
-    }
-}
-
 /// Hundredths in a whole.
 const PERCENT: u64 = 100;
 
@@ -584,7 +577,7 @@
             let use_of = AccountUse { account, used: purse.used, prepaid };
             let room = match book.stake(&self.holder, use_of, now, self.policy.silence) {
                 Stake::Share(fleet) => AimedRoom::new(&self.policy, purse, others, prepaid, fleet, now),
-                Stake::Holder => AimedRoom::new(&self.policy.large(), purse, others, prepaid, LARGE_PARTS, now),
+                Stake::Holder => AimedRoom::new(&self.policy, purse, others, prepaid, LARGE_PARTS, now),
                 Stake::Borrower => AimedRoom::default(),
             };
             let (aim, total) = (room.base.max(purse.wanted), room.total.max(purse.wanted));
@@ -600,7 +593,10 @@
             let is_wide = purse.limit.ceiling > most || room > aim.0 / PERCENT * LOWER_ABOVE + PERCENT;
             let lowers = ceiling < purse.limit.ceiling && is_wide;
             is_due |= raises || lowers || purse.is_cut;
-            record.holdings.insert(account.clone(), Holding { ceiling, settled: purse.used, reserve });
+            let holding = Holding { ceiling, settled: purse.used, reserve };
+            if holding != Holding::default() {
+                record.holdings.insert(account.clone(), holding);
+            }
         }
         if !is_due {
             return None;
@@ -721,9 +717,7 @@
             let most = Tokens(u64::try_from(part * u128::from(most) / u128::from(PERCENT)).unwrap_or(u64::MAX));
             most.min(use_in(purse, window, now).max(Tokens(most.0 / 2)))
         };
-        let total = within(policy.window, policy.share);
-        let base = if policy.base == policy.share { total } else { within(BASE_WINDOW, policy.base) };
-        Self { base, total }
+        Self { base: within(BASE_WINDOW, policy.base), total: within(policy.window, policy.share) }
     }
 }
 
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -32,15 +32,9 @@
 use crate::peers::{Lender, Peers};
 use crate::suspects::SUSPECTS_TOLD;
 
-/// Instances up to which records are written often enough to prove reserves unused.
-const STAMPED_MAX: usize = 15;
-
-/// Time between two records of an instance that holds room in a larger fleet, where nothing else asks for one; a run is
-/// believed to live for 20 s after its last.
-const WRITE_SELDOM: Duration = Duration::from_secs(8);
-
-/// Time between two records of an instance that holds no room; they only tell what it used.
-const TELL_EVERY: Duration = Duration::from_secs(30);
+/// Time between two records of an instance that holds no room; they only tell what it used, and that it lives: a run is
+/// believed to for 20 s after its last.
+const TELL_EVERY: Duration = Duration::from_secs(5);
 
 /// Least time between two renewals, so that requests that wait together share one.
 const RENEW_GAP: Duration = Duration::from_millis(40);
@@ -347,15 +341,10 @@
 
     /// Time between two records when nothing else asks for one.
     fn write_every(&self) -> Duration {
-        let holds_room = || {
-            let holder = self.holder();
-            self.book.lock().record(&holder).is_some_and(|record| record.holdings.values().any(Holding::has_room))
-        };
-        match self.board.fleet() {
-            0..=STAMPED_MAX => WRITE_EVERY,
-            _ if holds_room() => WRITE_SELDOM,
-            _ => TELL_EVERY,
-        }
+        let holder = self.holder();
+        let book = self.book.lock();
+        let has_room = book.record(&holder).is_some_and(|record| record.holdings.values().any(Holding::has_room));
+        if has_room { WRITE_EVERY } else { TELL_EVERY }
     }
 
     /// Records that end this instance's dead runs, and take back reserves that they cannot have used.
