--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -1,13 +1,14 @@
 //! Keeps the table of backend servers in step with the store's list.
 //!
 //! Entries that lapse while the store is away say nothing about their servers: they are kept until the servers had
-//! time to list themselves again. See `docs/PLATFORM.md#servers`.
+//! time to list themselves again. An outage lets the entries of all servers lapse, so where only a few are missing
+//! after it, those servers left. See `docs/PLATFORM.md#servers`.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::names::BackendServerName;
+use coltsfootpick_core::names::{BackendServerName, ServiceName};
 use tokio::time::Instant;
 
 use crate::board::Board;
@@ -65,6 +66,25 @@
         }
     }
 
+    /// Removes the lapsed servers of each service of which less than half lapsed.
+    fn drop_few(&mut self) {
+        let mut by_service: BTreeMap<ServiceName, Vec<BackendServerName>> = BTreeMap::new();
+        for name in self.lapsed.keys() {
+            if let Some(service) = self.board.servers.service_of(name) {
+                by_service.entry(service).or_default().push(name.clone());
+            }
+        }
+        for (service, lapsed) in by_service {
+            if lapsed.len() * 2 >= self.board.servers.of(&service).len() {
+                continue;
+            }
+            for name in lapsed {
+                self.lapsed.remove(&name);
+                self.remove(&name, "few-missing");
+            }
+        }
+    }
+
     fn remove(&self, name: &BackendServerName, reason: &str) {
         if let Some(server) = self.board.servers.remove(name) {
             fleet_event!(Event::ServerGone, "server={name} service={} reason={reason}", server.entry.service);
@@ -99,6 +119,7 @@
     }
 
     fn tick(&mut self) {
+        self.drop_few();
         let now = Instant::now();
         let over: Vec<BackendServerName> =
             self.lapsed.iter().filter(|(_, until)| **until <= now).map(|(name, _)| name.clone()).collect();
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -127,6 +127,11 @@
         shard.map(|servers| servers.read().values().cloned().collect()).unwrap_or_default()
     }
 
+    /// Service of a server.
+    pub fn service_of(&self, name: &BackendServerName) -> Option<ServiceName> {
+        self.homes.lock().get(name).cloned()
+    }
+
     /// Names of all servers.
     pub fn names(&self) -> Vec<BackendServerName> {
         self.homes.lock().keys().cloned().collect()
--- a/crates/serving/tests/following.rs
+++ b/crates/serving/tests/following.rs
@@ -81,6 +81,23 @@
     assert_eq!(usable(&board), ["a"], "the others hold");
 }
 
+/// A server that leaves without a notice while the store cannot be read is gone at the return.
+#[tokio::test(start_paused = true)]
+async fn leaves_in_outage() {
+    let store = KeyedStore::default();
+    for name in ["a", "b", "c"] {
+        put(&store, name, READY);
+    }
+    let board = follow_servers(&store);
+    tokio::time::sleep(READ).await;
+    store.put(Topic::Servers, "c", None);
+    store.set_fault(Fault::Silent);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    store.set_fault(Fault::None);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(usable(&board), ["a", "b"], "one of three missing after an outage has left");
+}
+
 #[tokio::test(start_paused = true)]
 async fn lapsed_entry() {
     let store = KeyedStore::default();
