--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -59,8 +59,8 @@
 /// Time after which a holder's record no longer tells what its clock shows.
 const WITNESS_AGE: Duration = Duration::from_millis(1_500);
 
-/// Instances that hold room of one account for others in a fleet of more than [`ALL_HOLD`]; more of them renew against
-/// each other, with one only its death stops the account until it is missed.
+/// Instances that hold room of one account for others in a fleet of more than [`ALL_HOLD`]; with a single one its death
+/// stops the account until it is missed.
 const HOMES: usize = 2;
 
 /// Instances of a large fleet among which an account's room is first divided: homes, and some that use much.
@@ -668,9 +668,9 @@
         cut
     }
 
-    /// Record that was planned and was not read from the log yet.
-    pub fn pending(&self) -> Option<&HolderRecord> {
-        self.pending.as_ref().map(|pending| &pending.record)
+    /// Whether a planned record was not read from the log yet.
+    pub const fn is_pending(&self) -> bool {
+        self.pending.is_some()
     }
 
     /// Forgets the pending record, which was not written and never will be.
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -414,8 +414,8 @@
         {
             return Renewal::Lost;
         }
-        let is_read = !self.has_read() || self.purses.lock().pending().is_some();
-        if is_read && self.read_all().await == Renewal::Lost {
+        let needs_read = !self.has_read() || self.purses.lock().is_pending();
+        if needs_read && self.read_all().await == Renewal::Lost {
             return Renewal::Lost;
         }
         let mut records = self.ended_runs();
--- a/crates/serving/tests/settings.rs
+++ b/crates/serving/tests/settings.rs
@@ -13,6 +13,14 @@
     assert_eq!((&*settings.identity.name, settings.places.len(), settings.identity.repeats.slack), ("edge-a", 2, 52));
 }
 
+#[test]
+fn link_rate() {
+    assert_eq!(Settings::parse(SOUND).unwrap().identity.link_rate, None);
+    let told = SOUND.replace("grace-s = 8", "grace-s = 8\nlink-mbps = 10.0");
+    assert_eq!(Settings::parse(&told).unwrap().identity.link_rate, Some(1_250_000.0));
+}
+
+#[test_case("grace-s = 8", "link-mbps = wide", "[instance] link-mbps: found \"wide\""; "link")]
 #[test_case("zone = tunis-a", "zone = mars", "[instance] zone: found mars"; "zone")]
 #[test_case("grace-s = 8", "grace-s = soon", "[instance] grace-s: found \"soon\""; "grace")]
 #[test_case("address = 127.0.0.1:4", "address = here", "[store] address: found \"here\""; "address")]
