Command line, settings file and exit code are written once

Cause: the edge's args, exit codes, settings errors and main repeated the daemon's. Change: crates/process holds them; each program gives its name, its help and its settings. No change of behaviour. Measured: 14 calls of both binaries (help, version, wrong words, missing and faulty files) print the same and end with the same codes as before.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use coltsfootpick_core::shard::ShardIndex;
+use coltsfootpick_process::exit::Exit;
 use eyre::WrapErr;
 use flexi_logger::{DeferredNow, Logger, Record};
 use tokio::net::TcpListener;
@@ -14,7 +15,6 @@
 use crate::clock::SystemClock;
 use crate::event;
 use crate::events::Event;
-use crate::exit::Exit;
 use crate::instance::{Borders, Instance};
 use crate::platform::HttpPlatform;
 use crate::settings::Settings;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of one instance, read from INI and checked as a whole; every key is in `docs/SETTINGS.md`.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +11,8 @@
 use coltsfootpick_core::names::{AvailabilityZoneName, InstanceName, RegionName, is_valid_name};
 use coltsfootpick_core::pace::SnapshotLimits;
 use coltsfootpick_core::placement::PolicyKind;
-use derive_more::{Debug, Display, Error};
+use coltsfootpick_process::settings_file::{SettingsError, read_settings};
+use derive_more::Debug;
 
 /// Shortest peer key, in bytes.
 pub const PEER_KEY_MIN_BYTES: usize = 32;
@@ -105,37 +106,10 @@
     pub key: KeyHash,
 }
 
-/// Why settings cannot be used.
-#[derive(Debug, Display, Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[display("cannot read {}: {source}", path.display())]
-    Read {
-        /// File.
-        path: PathBuf,
-        /// Cause.
-        source: std::io::Error,
-    },
-    /// The file has faults.
-    #[display("{} faults in {}:{}", faults.len(), path.display(), fault_lines(faults))]
-    Faults {
-        /// File.
-        path: PathBuf,
-        /// Everything wrong.
-        faults: Vec<Fault>,
-    },
-}
-
-fn fault_lines(faults: &[Fault]) -> String {
-    faults.iter().fold(String::new(), |lines, fault| lines + "\n  " + &fault.to_string())
-}
-
 impl Settings {
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text =
-            std::fs::read_to_string(path).map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
-        Self::parse(&text).map_err(|faults| SettingsError::Faults { path: path.to_owned(), faults })
+        read_settings(path, Self::parse)
     }
 
     /// Checks the text of a file, or lists everything wrong with it.
--- a/crates/daemon/tests/replacement.rs
+++ b/crates/daemon/tests/replacement.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfootpickd::exit::Exit;
+use coltsfootpick_process::exit::Exit;
 use coltsfootpickd::run::stop;
 use common::{Fleet, PATIENCE, registry};
 use parking_lot::Mutex;
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings: the sample, every kind of fault, and the page that lists the keys.
 
-use coltsfootpickd::args::{Command, parse_args};
+use coltsfootpick_process::args::Command;
+use coltsfootpickd::args::PROGRAM;
 use coltsfootpickd::settings::Settings;
 use test_case::test_case;
 
@@ -61,11 +62,11 @@
 #[test_case(&["--colour"]; "unknown option")]
 #[test_case(&[]; "no arguments")]
 fn bad_arguments(args: &[&str]) {
-    assert!(parse_args(args.iter().map(ToString::to_string)).is_err());
+    assert!(PROGRAM.parse(args.iter().map(ToString::to_string), None).is_err());
 }
 
 #[test]
 fn check_only() {
     let args = ["--config", "a.ini", "--check"].map(str::to_owned);
-    assert_eq!(parse_args(args.into_iter()).unwrap(), Command::Check("a.ini".into()));
+    assert_eq!(PROGRAM.parse(args.into_iter(), None).unwrap(), Command::Check("a.ini".into()));
 }
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use coltsfootpickd::exit::Exit;
+use coltsfootpick_process::exit::Exit;
 use coltsfootpickd::run::stop;
 use common::{Fleet, eventually};
 
--- /dev/null
+++ b/crates/process/src/args.rs
@@ -0,0 +1,77 @@
+//! Command line of a program that runs with one settings file.
+
+use std::path::PathBuf;
+
+use derive_more::{Display, Error};
+use getopts::Options;
+
+/// A program and what its help says.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// Name of the program.
+    pub name: &'static str,
+    /// Arguments in the line that shows the usage.
+    pub usage: &'static str,
+    /// Help for `--config`.
+    pub config: &'static str,
+    /// Variable with the path of the settings file, for programs that read one.
+    pub variable: Option<&'static str>,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Print the usage.
+    Help,
+    /// Print the version.
+    Version,
+    /// Check a settings file.
+    Check(PathBuf),
+    /// Run with a settings file.
+    Run(PathBuf),
+}
+
+/// Why the command line cannot be read.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{message}; try --help")]
+pub struct ArgsError {
+    message: String,
+}
+
+impl Program {
+    fn options(&self) -> Options {
+        let mut options = Options::new();
+        options.optopt("c", "config", self.config, "FILE");
+        options.optflag("", "check", "check the settings and exit");
+        options.optflag("h", "help", "print this help");
+        options.optflag("V", "version", "print the version");
+        options
+    }
+
+    /// Text of `--help`.
+    pub fn help(&self) -> String {
+        self.options().usage(&format!("Usage: {} {}", self.name, self.usage))
+    }
+
+    /// Reads the arguments that follow the program's name; `default` is the settings file where `--config` names none.
+    pub fn parse(&self, args: impl Iterator<Item = String>, default: Option<String>) -> Result<Command, ArgsError> {
+        let matches = self.options().parse(args).map_err(|fail| ArgsError { message: fail.to_string() })?;
+        if let Some(extra) = matches.free.first() {
+            return Err(ArgsError { message: format!("unexpected argument '{extra}'") });
+        }
+        match matches.opt_str("config").or(default).map(PathBuf::from) {
+            _ if matches.opt_present("help") => Ok(Command::Help),
+            _ if matches.opt_present("version") => Ok(Command::Version),
+            None => Err(ArgsError { message: self.missing() }),
+            Some(path) if matches.opt_present("check") => Ok(Command::Check(path)),
+            Some(path) => Ok(Command::Run(path)),
+        }
+    }
+
+    fn missing(&self) -> String {
+        match self.variable {
+            Some(variable) => format!("neither --config nor {variable} names a settings file"),
+            None => "--config is required".to_owned(),
+        }
+    }
+}
--- a/crates/daemon/src/exit.rs
+++ b/crates/process/src/exit.rs
@@ -1,11 +1,11 @@
-//! Exit codes, listed in `docs/OPERATING.md`.
+//! Exit codes, listed in `docs/OPERATING.md` and `docs/OPERATIONS.md`.
 
 use std::process::ExitCode;
 
 use crate::args::ArgsError;
-use crate::settings::SettingsError;
+use crate::settings_file::SettingsError;
 
-/// How the daemon ended.
+/// How a program ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exit {
     /// Stopped as asked; nothing was cut off.
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of one instance of the request path; `docs/SETTINGS.md#edge` lists them.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use coltsfootpick_core::ini::{self, Fault, Section, fault};
 use coltsfootpick_core::names::{AvailabilityZoneName, RegionName};
 use coltsfootpick_core::spread::Place;
-use derive_more::{Display, Error};
+use coltsfootpick_process::settings_file::{SettingsError, read_settings};
 
 use crate::board::{Identity, RepeatBound};
 
@@ -38,31 +38,6 @@
     pub level: String,
 }
 
-/// Why settings cannot be used.
-#[derive(Debug, Display, Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[display("cannot read {}: {source}", path.display())]
-    Read {
-        /// File.
-        path: PathBuf,
-        /// Cause.
-        source: std::io::Error,
-    },
-    /// The file has faults.
-    #[display("{} faults in {}:{}", faults.len(), path.display(), listed(faults))]
-    Faults {
-        /// File.
-        path: PathBuf,
-        /// Everything wrong.
-        faults: Vec<Fault>,
-    },
-}
-
-fn listed(faults: &[Fault]) -> String {
-    faults.iter().fold(String::new(), |lines, fault| lines + "\n  " + &fault.to_string())
-}
-
 /// Bytes in a megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
@@ -72,9 +47,7 @@
 impl Settings {
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text =
-            std::fs::read_to_string(path).map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
-        Self::parse(&text).map_err(|faults| SettingsError::Faults { path: path.to_owned(), faults })
+        read_settings(path, Self::parse)
     }
 
     /// Checks the text of a file, or lists everything wrong with it.
