One fading rate; use by others, ranks and amounts are read in one place

Cause: Link wrote sizing::Demand again; CreditBook summed the others' holdings in two loops; a request's rank and an account's amount were worked out twice; stake hashed every instance's name also where each holds room. Change: core::rate::Rate serves wallet, ceilings and link; holdings, rank_of and RouteTable::prepaid are called by both sides; a small fleet is known before any name is hashed. No change of behaviour.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -14,7 +14,7 @@
 
 use crate::names::ClientAccountName;
 use crate::quarantine::SuspectNews;
-use crate::sizing::Demand;
+use crate::rate::Rate;
 use crate::units::{Instant, Offset, Tokens};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -214,8 +214,7 @@
     /// Sums of `account` over all holders but `own`.
     pub fn others(&self, own: &str, account: &ClientAccountName, now: Instant, silence: Duration) -> Others {
         let mut sums = Others::default();
-        for (_, heard) in self.holders.iter().filter(|(name, _)| &***name != own) {
-            let Some(holding) = heard.record.holdings.get(account) else { continue };
+        for (heard, holding) in self.holdings(own, account) {
             let is_over = !heard.is_living(now, silence);
             sums.ceiling += holding.bound();
             sums.settled += if is_over { holding.bound() } else { holding.settled };
@@ -227,8 +226,13 @@
 
     /// Sum of everything that holders other than `own` may use of `account` by their newest records.
     fn held(&self, own: &str, account: &ClientAccountName) -> Tokens {
-        let others = self.holders.iter().filter(|(name, _)| &***name != own);
-        others.filter_map(|(_, heard)| Some(heard.record.holdings.get(account)?.bound())).sum()
+        self.holdings(own, account).map(|(_, holding)| holding.bound()).sum()
+    }
+
+    /// Newest records of holders other than `own` that name `account`, with what they say of it.
+    fn holdings(&self, own: &str, account: &ClientAccountName) -> impl Iterator<Item = (&Heard, &Holding)> {
+        let others = self.holders.iter().filter(move |(name, _)| &***name != own);
+        others.filter_map(move |(_, heard)| Some((heard, heard.record.holdings.get(account)?)))
     }
 
     /// Holders other than `own` with the room of `account` that their newest records show, most first.
@@ -258,19 +262,18 @@
     /// In a large fleet room that is spread over all instances covers no single request, and all of them write.
     pub fn stake(&self, own: &str, use_of: AccountUse<'_>, now: Instant, silence: Duration) -> Stake {
         let AccountUse { account, used, prepaid } = use_of;
+        let fleet = self.alive(own, now, silence) + 1;
+        if fleet <= ALL_HOLD {
+            return Stake::Share(fleet as u64);
+        }
         let weight = |name: &str| xxh3_64(format!("{account}\n{}", instance_of(name)).as_bytes());
         let own_weight = weight(own);
-        let (mut fleet, mut before) = (1, 0);
-        for name in self.living(own, now, silence) {
-            fleet += 1;
-            before += usize::from(weight(name) > own_weight);
-        }
+        let before = self.living(own, now, silence).filter(|name| weight(name) > own_weight).take(HOMES).count();
         let all_used = || self.others(own, account, now, silence).seen + used;
         let is_heavy = || used.0 >= prepaid.0 / HEAVY_LEAST && used.0 >= all_used().0 / HEAVY_PART;
-        match fleet {
-            0..=ALL_HOLD => Stake::Share(fleet as u64),
-            _ if before < HOMES || is_heavy() => Stake::Holder,
-            _ => Stake::Borrower,
+        match before < HOMES || is_heavy() {
+            true => Stake::Holder,
+            false => Stake::Borrower,
         }
     }
 
@@ -299,13 +302,6 @@
     }
 }
 
-impl Pending {
-    /// Whether `record`, as read from the log, is this one.
-    fn is(&self, record: &HolderRecord) -> bool {
-        self.record.stamp == record.stamp && self.record.holdings == record.holdings
-    }
-}
-
 /// What a record tells beside its ceilings.
 #[derive(Clone, Debug, Default)]
 pub struct RecordNote {
@@ -346,7 +342,7 @@
 /// A ceiling is lowered once more than this many hundredths of its aimed room are left.
 const LOWER_ABOVE: u64 = 200;
 
-/// Span over which the rate of use is taken, in units of [`Demand`]'s horizon.
+/// Span over which the rate of use is taken.
 const RATE_HORIZON: Duration = Duration::from_secs(5);
 
 /// Time of own use that a ceiling covers, beside the reserve: an outage up to [`ISOLATION`] and a write's delay.
@@ -412,7 +408,7 @@
     borrowed: Tokens,
     lent: Tokens,
     wanted: Tokens,
-    demand: Demand,
+    demand: Rate,
     seen: Tokens,
 }
 
@@ -455,6 +451,13 @@
     before: Option<Instant>,
 }
 
+impl Pending {
+    /// Whether `record`, as read from the log, is this one.
+    fn is(&self, record: &HolderRecord) -> bool {
+        self.record.stamp == record.stamp && self.record.holdings == record.holdings
+    }
+}
+
 impl Purses {
     /// Empty purses of a fresh holder.
     pub const fn new(holder: Arc<str>, policy: CeilingPolicy) -> Self {
@@ -503,7 +506,7 @@
         let used = used.min(bound);
         purse.reserved = purse.reserved.less(bound);
         purse.used += used;
-        purse.demand.add(used, now, RATE_HORIZON);
+        purse.demand.add(used.0, now, RATE_HORIZON);
     }
 
     /// Passes room to another holder: at least `least`, up to `most` or half of what there is.
@@ -515,7 +518,7 @@
         let room = purse.room(isolated);
         let amount = if room < least { Tokens::ZERO } else { most.min(Tokens(room.0 / 2)).max(least) };
         purse.lent += amount;
-        purse.demand.add(amount.max(least), now, RATE_HORIZON);
+        purse.demand.add(amount.max(least).0, now, RATE_HORIZON);
         Loan { amount, left: purse.room(isolated) }
     }
 
@@ -724,5 +727,5 @@
 /// Tokens that a holder uses in `span` at its present rate.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a rate is small and not negative")]
 fn use_in(purse: &Purse, span: Duration, now: Instant) -> Tokens {
-    Tokens((purse.demand.rate(now, RATE_HORIZON) * span.as_secs_f64()) as u64)
+    Tokens((purse.demand.per_second(now, RATE_HORIZON) * span.as_secs_f64()) as u64)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod prefixes;
 pub mod quarantine;
+pub mod rate;
 pub mod record;
 pub mod refusal;
 pub mod retry;
--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use crate::rate::Rate;
 use crate::units::Instant;
 
 /// Span over which the rate is taken.
@@ -38,8 +39,7 @@
 pub struct Link {
     /// Bytes that it carries a second in one direction; not limited where none is told.
     capacity: Option<f64>,
-    rate: f64,
-    at: Instant,
+    traffic: Rate,
     is_full: bool,
 }
 
@@ -55,20 +55,17 @@
 impl Link {
     /// Idle link that carries `capacity` bytes a second in one direction.
     pub fn new(capacity: Option<f64>) -> Self {
-        Self { capacity: capacity.filter(|rate| *rate > 0.0), rate: 0.0, at: Instant::default(), is_full: false }
+        Self { capacity: capacity.filter(|rate| *rate > 0.0), traffic: Rate::default(), is_full: false }
     }
 
     /// Notes that `bytes` pass the link in each direction: what comes from one side goes on to the other.
     pub fn note(&mut self, bytes: u64, now: Instant) {
-        self.decay(now);
-        #[expect(clippy::cast_precision_loss, reason = "requests and answers are far shorter than 2^52 bytes")]
-        let bytes = bytes as f64;
-        self.rate += bytes / RATE_SPAN.as_secs_f64();
+        self.traffic.add(bytes, now, RATE_SPAN);
     }
 
     /// Used part of the capacity; 0 for a link without a known one.
     pub fn usage(&self, now: Instant) -> f64 {
-        self.capacity.map_or(0.0, |capacity| self.rate * fade(now.since(self.at)) / capacity)
+        self.capacity.map_or(0.0, |capacity| self.traffic.per_second(now, RATE_SPAN) / capacity)
     }
 
     /// Whether a request of `rank`, 0 before all others, is still taken.
@@ -89,14 +86,4 @@
         self.is_full = is_full;
         has_changed.then_some(LinkChange { is_full, usage })
     }
-
-    fn decay(&mut self, now: Instant) {
-        self.rate *= fade(now.since(self.at));
-        self.at = now;
-    }
-}
-
-/// Part of a rate that is left after `span` without traffic.
-fn fade(span: Duration) -> f64 {
-    (-span.as_secs_f64() / RATE_SPAN.as_secs_f64()).exp()
 }
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -175,6 +175,11 @@
         self.accounts.get(name)
     }
 
+    /// Tokens that an account paid for; none for one that is not limited.
+    pub fn prepaid(&self, name: &ClientAccountName) -> Option<Tokens> {
+        self.account(name)?.prepaid
+    }
+
     /// All accounts, by name.
     pub fn accounts(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.accounts.values()
--- a/crates/core/src/sizing.rs
+++ b/crates/core/src/sizing.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::units::{Instant, Tokens};
+use crate::units::Tokens;
 
 /// Share of 100 in whole percent.
 pub const PERCENT: u64 = 100;
@@ -16,9 +16,6 @@
 /// Part of the cover, in percent, below which a holder asks for more.
 const LOW_PERCENT: u64 = 75;
 
-/// Longest time over which a rate is taken, so that a fresh holder soon knows what it needs for a long horizon.
-const RATE_WINDOW: Duration = Duration::from_secs(300);
-
 /// How an environment sizes its grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sizing {
@@ -94,30 +91,3 @@
         }
     }
 }
-
-/// Rate of use that fades with the horizon, within `RATE_WINDOW`.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Demand {
-    rate: f64,
-    at: Instant,
-}
-
-impl Demand {
-    /// Adds `used` tokens at `now`.
-    #[expect(clippy::cast_precision_loss, reason = "a rate needs no more than 52 bits")]
-    pub fn add(&mut self, used: Tokens, now: Instant, horizon: Duration) {
-        self.rate = self.rate(now, horizon) + used.0 as f64 / window(horizon);
-        self.at = now;
-    }
-
-    /// Tokens used a second, as of `now`.
-    pub fn rate(&self, now: Instant, horizon: Duration) -> f64 {
-        let faded = now.since(self.at).as_secs_f64() / window(horizon);
-        self.rate * (-faded).exp()
-    }
-}
-
-/// Seconds over which the rate is taken.
-fn window(horizon: Duration) -> f64 {
-    horizon.min(RATE_WINDOW).as_secs_f64().max(f64::EPSILON)
-}
--- a/crates/core/src/wallet.rs
+++ b/crates/core/src/wallet.rs
@@ -8,9 +8,10 @@
 use crate::attempts::ClaimOutcome;
 use crate::ledger::{Account, Ledger, LedgerOutcome};
 use crate::names::{BudgetKey, Incarnation, RecordId};
+use crate::rate::Rate;
 use crate::record::{AttemptKey, AttemptOutcome, Batch, Entry};
 use crate::shard::{EntryOutcome, Shard};
-use crate::sizing::{Demand, Need, Sizing};
+use crate::sizing::{Need, Sizing};
 use crate::units::{Instant, Tokens};
 
 /// Most entries of one batch, which bounds the size of a record.
@@ -62,7 +63,7 @@
     /// Billed here and not read back yet, so the fold still counts it as granted.
     unsettled: Tokens,
     waiting: BTreeMap<Ticket, Tokens>,
-    demand: Demand,
+    demand: Rate,
     asked: bool,
     denied: bool,
 }
@@ -169,7 +170,7 @@
         let purse = self.purses.entry(reservation.key.clone()).or_default();
         purse.reserved = purse.reserved.less(reservation.bound);
         purse.held = purse.held.less(used);
-        purse.demand.add(used, now, sizing.horizon);
+        purse.demand.add(used.0, now, sizing.horizon);
         if used.is_zero() {
             return;
         }
@@ -401,7 +402,7 @@
         available: purse.available(),
         waiting: purse.waiting.values().copied().sum(),
         smallest: purse.waiting.values().copied().min().unwrap_or_default(),
-        rate: purse.demand.rate(now, sizing.horizon),
+        rate: purse.demand.per_second(now, sizing.horizon),
         free: account.map(|account| account.free).unwrap_or_default(),
     };
     let others_wait = account.is_some_and(|account| !account.shortfall.is_zero());
--- a/crates/serving/src/accepted.rs
+++ b/crates/serving/src/accepted.rs
@@ -56,9 +56,9 @@
 }
 
 impl Accepted {
-    /// Rank at an engine: the account's goes before the route's.
+    /// Rank at an engine.
     pub fn rank(&self) -> u8 {
-        self.account.as_ref().and_then(|account| account.rank).unwrap_or(self.route.rank)
+        rank_of(&self.route, self.account.as_deref())
     }
 
     /// Charges what the request has used as far as it is known; more is never used than this tells.
@@ -80,6 +80,11 @@
     }
 }
 
+/// Rank of a request, 0 before all others: the account's goes before the route's.
+pub fn rank_of(route: &Route, account: Option<&Account>) -> u8 {
+    account.and_then(|account| account.rank).unwrap_or(route.rank)
+}
+
 /// Account that pays for a request, if its route needs one.
 pub fn account_of(table: &RouteTable, route: &Route, request: &CallerRequest) -> Result<Option<Arc<Account>>, Refusal> {
     let known = request.key.as_deref().and_then(|key| table.account_of(key));
--- a/crates/serving/src/keeper.rs
+++ b/crates/serving/src/keeper.rs
@@ -250,8 +250,7 @@
     }
 
     fn prepaid(&self, account: &ClientAccountName) -> Tokens {
-        let table = self.board.table();
-        table.as_ref().and_then(|table| table.account(account)?.prepaid).unwrap_or_default()
+        self.board.table().and_then(|table| table.prepaid(account)).unwrap_or_default()
     }
 
     /// Whether a higher ceiling should not come from the store: others hold the account, or what is left of it, or the
@@ -522,7 +521,7 @@
         }
         let table = self.board.table();
         let version = table.as_ref().map_or(0, |table| table.version());
-        let prepaid = |account: &ClientAccountName| table.as_ref()?.account(account)?.prepaid;
+        let prepaid = |account: &ClientAccountName| table.as_ref()?.prepaid(account);
         for account in purses.take_own(record, book, version, prepaid) {
             fleet_event!(Event::RaiseCut, "account={account} stamp={} document={version}", record.stamp);
         }
--- a/crates/serving/src/path.rs
+++ b/crates/serving/src/path.rs
@@ -11,7 +11,7 @@
 use coltsfootpick_core::spread::{Ask, Candidate, Spread, choose};
 use tokio::time::Instant;
 
-use crate::accepted::{Accepted, Spent, account_of};
+use crate::accepted::{Accepted, Spent, account_of, rank_of};
 use crate::answer::Answer;
 use crate::board::Board;
 use crate::borders::{BackendDialect, Sending};
@@ -104,7 +104,7 @@
         if !self.board.can_end(until) {
             return Err(Refusal::not_run(Code::Draining, "the instance is stopping").retry_after(DRAINING_BACKOFF));
         }
-        self.check_link(account.as_ref().and_then(|account| account.rank).unwrap_or(route.rank))?;
+        self.check_link(rank_of(&route, account.as_deref()))?;
         let print = suspects::fingerprint(&request, account.as_ref().map(|account| &account.name), &service);
         suspects::check(&self.board, print)?;
         let charge = self.reserve(&request, account.as_deref(), until).await?;
