--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod borders;
 pub mod events;
 pub mod lines;
+pub mod listener;
 pub mod metrics;
 pub mod request;
 pub mod settings;
--- /dev/null
+++ b/crates/serving/src/listener.rs
@@ -0,0 +1,26 @@
+//! Acceptance of connections from callers and other instances.
+
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed accept, for example when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Next connection; `kind` names it in log lines.
+pub async fn accept_next(listener: &TcpListener, kind: &str) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = stream.set_nodelay(true) {
+                    log::debug!("nodelay of {kind}: {error}");
+                }
+                return stream;
+            }
+            Err(error) => {
+                log::warn!("cannot accept {kind}: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -27,6 +27,7 @@
 use crate::events::Event;
 use crate::feed::FeedSink;
 use crate::fleet_event;
+use crate::listener::accept_next;
 use crate::settings::Settings;
 
 /// Time for a link to be made; regions are some 16 ms apart.
@@ -50,9 +51,6 @@
 /// Pause before an announcement is written again.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(500);
 
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Who gives and takes room on behalf of this instance.
 pub trait Lender: Send + Sync + std::fmt::Debug {
     /// Passes room on.
@@ -250,22 +248,12 @@
 pub async fn serve_peers(listener: TcpListener, lender: Arc<dyn Lender>) {
     let given = Arc::new(Mutex::new(Given::default()));
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_link(stream, Arc::clone(&lender), Arc::clone(&given)));
-            }
-            Err(error) => {
-                log::warn!("cannot accept a link: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept_next(&listener, "a link").await;
+        tokio::spawn(serve_link(stream, Arc::clone(&lender), Arc::clone(&given)));
     }
 }
 
 async fn serve_link(stream: TcpStream, lender: Arc<dyn Lender>, given: Arc<Mutex<Given>>) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("nodelay of a link: {error}");
-    }
     let mut frames = framed(stream);
     while let Some(frame) = frames.next().await {
         let asked = frame
