No request is taken once the last open one has ended

Change: from then on, and after the grace time, requests are refused as not run. Measured: stopped_instance, written before the change, failed and passes.

--- a/crates/serving/src/board.rs
+++ b/crates/serving/src/board.rs
@@ -95,6 +95,8 @@
     pub draining: CancellationToken,
     /// Cancelled once the instance closes idle connections and takes only requests that end before it does.
     pub closing: CancellationToken,
+    /// Cancelled once the instance takes no request at all, since its process may end at any moment.
+    pub ended: CancellationToken,
     /// When the instance cuts what is still open, once it was asked to stop.
     pub ends: OnceLock<tokio::time::Instant>,
     table: RwLock<Option<Arc<RouteTable>>>,
@@ -117,6 +119,7 @@
             metrics: Metrics::default(),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
+            ended: CancellationToken::new(),
             ends: OnceLock::new(),
             table: RwLock::default(),
             versions: watch::Sender::new(0),
@@ -180,7 +183,8 @@
 
     /// Whether a request that may take until `until` can end here.
     pub fn can_end(&self, until: tokio::time::Instant) -> bool {
-        !self.closing.is_cancelled() || self.ends.get().is_some_and(|end| until <= *end)
+        let ends_in_time = || self.ends.get().is_some_and(|end| until <= *end);
+        !self.ended.is_cancelled() && (!self.closing.is_cancelled() || ends_in_time())
     }
 
     /// Number of instances, as far as this one knows.
--- a/crates/serving/src/drain.rs
+++ b/crates/serving/src/drain.rs
@@ -30,9 +30,17 @@
     board.draining.cancel();
     tokio::time::sleep_until(until.min(asked + NOTICE_TIME)).await;
     board.closing.cancel();
-    while Instant::now() < until && board.open() > 0 {
+    while Instant::now() < until {
+        if board.open() == 0 {
+            board.ended.cancel();
+            // A request that came before the line above was counted as open before it asked whether it can end.
+            if board.open() == 0 {
+                return 0;
+            }
+        }
         tokio::time::sleep(LOOK_EVERY).await;
     }
+    board.ended.cancel();
     board.open()
 }
 
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -4,6 +4,7 @@
 
 use coltsfootpick_core::refusal::{Code, Refusal, Run};
 use coltsfootpick_serving::answer::{Answer, AnswerBody};
+use coltsfootpick_serving::drain::wait_for_open;
 use coltsfootpick_testkit::fleet_rig::{Rig, request};
 use coltsfootpick_testkit::keyed_store::KeyedStore;
 use coltsfootpick_testkit::scripted_server::{Act, Script, ScriptedServer, answer};
@@ -260,3 +261,13 @@
     assert!(!rig.path.board.sends_away(), "callers may stay once the link is free");
     assert_eq!(relayed(call(&rig, "apply").await).0, 200);
 }
+
+/// The last record is written after the last open request has ended; a request that comes meanwhile must not be sent.
+#[tokio::test]
+async fn stopped_instance() {
+    let (rig, servers) = rig(vec![vec![vec![answer(200, "", "done")]]]).await;
+    assert_eq!(wait_for_open(&rig.path.board, Duration::from_secs(60)).await, 0);
+    let refusal = refused(call(&rig, "apply").await);
+    assert_eq!((refusal.run, refusal.code), (Run::NotRun, Code::Draining));
+    assert_eq!(sent(&servers), 0);
+}
