Accept fractions in the settings that the platform fills in

Change: slack, ratio, grace-s and link-mbps are decimals within a checked range; an empty or absent one takes its default; NaN, infinite and negative values are refused by name and value.

--- a/crates/core/src/ini.rs
+++ b/crates/core/src/ini.rs
@@ -172,6 +172,18 @@
         }
     }
 
+    /// Number within `range`, which may have a fraction, or `default` when the key is absent, empty or invalid.
+    pub fn decimal(&mut self, key: &'static str, range: std::ops::RangeInclusive<f64>, default: f64) -> f64 {
+        let Some(text) = self.text(key).filter(|text| !text.is_empty()) else { return default };
+        match text.parse::<f64>() {
+            Ok(value) if range.contains(&value) => value,
+            _ => {
+                self.add_fault(key, &quoted(&text), &format!("a number from {} to {}", range.start(), range.end()));
+                default
+            }
+        }
+    }
+
     /// Duration from a number of milliseconds within `range`, or `default` milliseconds.
     pub fn millis(&mut self, key: &'static str, range: std::ops::RangeInclusive<u64>, default: u64) -> Duration {
         Duration::from_millis(self.number(key, range, default))
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -41,6 +41,15 @@
 /// Bytes per second in one megabit per second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
+/// Longest time from a stop signal to the end of the process if the file does not set it, in seconds.
+const GRACE_DEFAULT_S: f64 = 8.0;
+
+/// Largest accepted number of retries that the fleet may make beyond its ratio.
+const SLACK_MAX: f64 = 1e9;
+
+/// Range of accepted link capacities, in megabits per second.
+const LINK_RANGE_MBPS: std::ops::RangeInclusive<f64> = 0.001..=1e9;
+
 /// Sections of the file; each appears at most once.
 const SECTIONS: [&str; 6] = ["instance", "listen", "store", "credit", "repeats", "logs"];
 
@@ -77,11 +86,8 @@
                 instance: InstanceSpec {
                     name: Arc::from(instance.required("name", "the instance's name")),
                     location: location?,
-                    retries: RetryLimit {
-                        ratio: repeats.parsed("ratio", "repeats a request, from 0 to 1").unwrap_or(0.0),
-                        slack: u32::try_from(repeats.number("slack", 0..=1_000_000, 0)).ok()?,
-                    },
-                    link_rate: instance.parsed("link-mbps", "megabits a second").map(|rate: f64| rate * BYTES_PER_MBIT),
+                    retries: read_retry_limit(&mut repeats),
+                    link_rate: read_link_rate(&mut instance),
                 },
                 locations,
                 caller_address: required_address(&mut listen, "callers")?,
@@ -89,7 +95,7 @@
                 peer_address: required_address(&mut listen, "peers")?,
                 metrics_address: listen.parsed("metrics", "IP:PORT"),
                 store_address: required_address(&mut store, "address")?,
-                grace: Duration::from_secs(instance.number("grace-s", 1..=3_600, 8)),
+                grace: Duration::from_secs_f64(instance.decimal("grace-s", 1.0..=3_600.0, GRACE_DEFAULT_S)),
                 ceiling_policy: read_ceiling_policy(&mut credit),
                 log_level: logs.text("level").unwrap_or_else(|| "info".to_owned()),
             })
@@ -117,6 +123,21 @@
     section.required_parsed(key, "IP:PORT")
 }
 
+/// Reads the retry limit; a fraction of a retry is not usable and is dropped.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the value lies within the checked range")]
+fn read_retry_limit(repeats: &mut Section) -> RetryLimit {
+    RetryLimit {
+        ratio: repeats.decimal("ratio", 0.0..=1.0, 0.0),
+        slack: repeats.decimal("slack", 0.0..=SLACK_MAX, 0.0) as u32,
+    }
+}
+
+/// Reads the link capacity in bytes per second; without one, the link counts as unlimited.
+fn read_link_rate(instance: &mut Section) -> Option<f64> {
+    instance.text("link-mbps").filter(|text| !text.is_empty())?;
+    Some(instance.decimal("link-mbps", LINK_RANGE_MBPS, *LINK_RANGE_MBPS.end()) * BYTES_PER_MBIT)
+}
+
 fn read_ceiling_policy(credit: &mut Section) -> CeilingPolicy {
     let default = CeilingPolicy::default();
     CeilingPolicy {
--- a/crates/serving/tests/settings.rs
+++ b/crates/serving/tests/settings.rs
@@ -23,6 +23,55 @@
     assert_eq!(Settings::parse(&changed).unwrap().instance.link_rate, Some(1_250_000.0));
 }
 
+#[test_case("slack = 52", "slack = 33.157894", 33; "fraction")]
+#[test_case("slack = 52", "slack = 12.0", 12; "whole as fraction")]
+#[test_case("slack = 52", "slack = 1e6", 1_000_000; "large")]
+#[test_case("slack = 52", "slack = 0", 0; "zero")]
+#[test_case("slack = 52", "slack =", 0; "empty")]
+#[test_case("slack = 52\n", "", 0; "absent")]
+fn retry_slack(valid: &str, changed: &str, expected: u32) {
+    let settings = Settings::parse(&VALID.replace(valid, changed)).unwrap();
+    assert_eq!(settings.instance.retries.slack, expected);
+}
+
+#[test_case("ratio = 0.2", "ratio = 0.25", 0.25; "fraction")]
+#[test_case("ratio = 0.2", "ratio = 1", 1.0; "whole")]
+#[test_case("ratio = 0.2", "ratio =", 0.0; "empty")]
+#[test_case("ratio = 0.2\n", "", 0.0; "absent")]
+fn retry_ratio(valid: &str, changed: &str, expected: f64) {
+    let ratio = Settings::parse(&VALID.replace(valid, changed)).unwrap().instance.retries.ratio;
+    assert!((ratio - expected).abs() < f64::EPSILON, "{ratio}");
+}
+
+#[test_case("grace-s = 8", "grace-s = 7.5", 7_500; "fraction")]
+#[test_case("grace-s = 8", "grace-s = 8.0", 8_000; "whole as fraction")]
+#[test_case("grace-s = 8", "grace-s = 3600", 3_600_000; "large")]
+#[test_case("grace-s = 8", "grace-s =", 8_000; "empty")]
+#[test_case("grace-s = 8\n", "", 8_000; "absent")]
+fn grace_time(valid: &str, changed: &str, expected_ms: u128) {
+    assert_eq!(Settings::parse(&VALID.replace(valid, changed)).unwrap().grace.as_millis(), expected_ms);
+}
+
+#[test_case("link-mbps = 0.5", Some(62_500.0); "fraction")]
+#[test_case("link-mbps = 4000", Some(500_000_000.0); "large")]
+#[test_case("link-mbps =", None; "empty")]
+fn link_rates(line: &str, expected: Option<f64>) {
+    let changed = VALID.replace("grace-s = 8", &format!("grace-s = 8\n{line}"));
+    assert_eq!(Settings::parse(&changed).unwrap().instance.link_rate, expected);
+}
+
+#[test_case("slack = 52", "slack = -1", "[repeats] slack: found \"-1\""; "negative slack")]
+#[test_case("slack = 52", "slack = 1e12", "[repeats] slack: found \"1e12\""; "slack over range")]
+#[test_case("ratio = 0.2", "ratio = NaN", "[repeats] ratio: found \"NaN\""; "ratio not a number")]
+#[test_case("ratio = 0.2", "ratio = 1.5", "[repeats] ratio: found \"1.5\""; "ratio over range")]
+#[test_case("grace-s = 8", "grace-s = 0.5", "[instance] grace-s: found \"0.5\""; "short grace")]
+#[test_case("grace-s = 8", "link-mbps = -4", "[instance] link-mbps: found \"-4\""; "negative link")]
+#[test_case("grace-s = 8", "link-mbps = inf", "[instance] link-mbps: found \"inf\""; "unlimited link")]
+#[test_case("name = edge-a", "name =", "[instance] name: found nothing"; "empty name")]
+#[test_case("peers = 127.0.0.1:3", "peers = 127.0.0.1:3.5", "[listen] peers: found"; "fraction port")]
+#[test_case("ready = 127.0.0.1:2", "ready = 127.0.0.1:99999", "[listen] ready: found"; "large port")]
+#[test_case("address = 127.0.0.1:4", "address =", "[store] address: found nothing"; "empty store")]
+#[test_case("zone = tunis-a", "zone =", "[instance] zone: found nothing"; "empty zone")]
 #[test_case("grace-s = 8", "link-mbps = wide", "[instance] link-mbps: found \"wide\""; "link")]
 #[test_case("zone = tunis-a", "zone = mars", "[instance] zone: found mars"; "zone")]
 #[test_case("grace-s = 8", "grace-s = soon", "[instance] grace-s: found \"soon\""; "grace")]
