--- /dev/null
+++ b/crates/core/src/account_credit.rs
@@ -0,0 +1,100 @@
+//! Credit of one holder for one account: limits by the log, use, reservations and loans.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::ceilings::HolderRecord;
+use crate::names::ClientAccountName;
+use crate::rate::Rate;
+use crate::units::{Instant, Tokens};
+
+/// Time span over which the rate of use is averaged.
+const RATE_SPAN: Duration = Duration::from_secs(5);
+
+/// Ceiling and reserve of one holder for one account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Limit {
+    pub(crate) ceiling: Tokens,
+    pub(crate) reserve: Tokens,
+}
+
+impl Limit {
+    /// Limit that `record` requests for `account`.
+    pub(crate) fn of(record: &HolderRecord, account: &ClientAccountName) -> Self {
+        let requested = record.ceilings.get(account).copied().unwrap_or_default();
+        Self { ceiling: requested.ceiling, reserve: requested.reserve }
+    }
+
+    pub(crate) fn total(self) -> Tokens {
+        self.ceiling + self.reserve
+    }
+
+    pub(crate) fn lower_of(self, other: Self) -> Self {
+        Self { ceiling: self.ceiling.min(other.ceiling), reserve: self.reserve.min(other.reserve) }
+    }
+
+    /// Limit reduced to at most `most` tokens in total; the reserve is reduced first.
+    pub(crate) fn within(self, most: Tokens) -> Self {
+        let ceiling = self.ceiling.min(most);
+        Self { ceiling, reserve: self.reserve.min(most.saturating_sub(ceiling)) }
+    }
+}
+
+/// Credit of one holder for one account.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AccountCredit {
+    /// Limit in force, which is below `granted` while a lower limit is being written.
+    pub(crate) limit: Limit,
+    /// Limit granted by the log as far as it was read.
+    pub(crate) granted: Limit,
+    /// Whether the newest record requests more than `granted`; other holders count the requested amount as allowed.
+    pub(crate) is_cut: bool,
+    pub(crate) used: Tokens,
+    pub(crate) reserved: Tokens,
+    /// Loans received and not yet accounted for to their lenders, which includes loans of dead lenders.
+    pub(crate) borrowed: Tokens,
+    /// Part of `borrowed` by live lender.
+    pub(crate) loans: BTreeMap<Arc<str>, Tokens>,
+    /// Loans given that the borrowers have not yet accounted for.
+    pub(crate) lent: Tokens,
+    /// Sum of the bounds of waiting requests.
+    pub(crate) waiting: Tokens,
+    use_rate: Rate,
+    /// Tokens that other holders reported as settled.
+    pub(crate) others_used: Tokens,
+}
+
+impl AccountCredit {
+    /// Tokens that the written ceiling must cover: own use, reservations and loans given, less loans received, which
+    /// the lenders' ceilings cover.
+    pub(crate) fn committed(&self) -> Tokens {
+        (self.used + self.reserved + self.lent).saturating_sub(self.borrowed)
+    }
+
+    pub(crate) fn headroom(&self, isolated: bool) -> Tokens {
+        let reserve = if isolated { self.limit.reserve } else { Tokens::ZERO };
+        (self.limit.ceiling + reserve + self.borrowed).saturating_sub(self.used + self.reserved + self.lent)
+    }
+
+    /// Whether the known use of all holders leaves fewer than `bound` of the `prepaid` tokens.
+    pub(crate) fn is_exhausted(&self, bound: Tokens, prepaid: Tokens) -> bool {
+        self.others_used + self.used + bound > prepaid
+    }
+
+    pub(crate) fn note_use(&mut self, amount: Tokens, now: Instant) {
+        self.used += amount;
+        self.use_rate.add(amount.0, now, RATE_SPAN);
+    }
+
+    /// Present rate of use in tokens per second.
+    pub(crate) fn rate(&self, now: Instant) -> f64 {
+        self.use_rate.per_second(now, RATE_SPAN)
+    }
+
+    /// Tokens that the holder uses in `span` at its present rate of use.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a rate is small and not negative")]
+    pub(crate) fn expected_use(&self, span: Duration, now: Instant) -> Tokens {
+        Tokens((self.rate(now) * span.as_secs_f64()) as u64)
+    }
+}
--- /dev/null
+++ b/crates/core/src/headroom.rs
@@ -0,0 +1,95 @@
+//! Sizes of credit ceilings: how much headroom a holder keeps above the tokens that it has committed.
+
+use std::time::Duration;
+
+use crate::ceilings::OtherHolders;
+use crate::units::Tokens;
+
+/// Headroom that ceilings leave above the amounts used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CeilingPolicy {
+    /// Percent of an account's unused credit that all holders together keep as headroom, including their reserves.
+    pub share_percent: u64,
+    /// Percent of an account's unused credit that all holders together keep as headroom, without their reserves.
+    pub base_percent: u64,
+    /// Time of the holder's own use that its ceiling and reserve cover once its rate of use is known.
+    pub window: Duration,
+    /// Time without a record after which a holder counts as dead for sizing; its ceiling still counts against the
+    /// account.
+    pub silence: Duration,
+}
+
+impl Default for CeilingPolicy {
+    fn default() -> Self {
+        Self { share_percent: 40, base_percent: 12, window: Duration::from_secs(12), silence: Duration::from_secs(20) }
+    }
+}
+
+/// Divisor of a percentage.
+pub const PERCENT: u64 = 100;
+
+/// Time of own use that a ceiling covers without the reserve: an outage of the isolation timeout and the delay of one
+/// write.
+const BASE_WINDOW: Duration = Duration::from_millis(3_500);
+
+/// Use credited to every holder when an account is divided, in percent of the prepaid amount, so that a new holder gets
+/// a share before it has used anything.
+const BASE_WEIGHT_PERCENT: u64 = 2;
+
+/// What a holder knows of one account when it sizes its headroom.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadroomInput {
+    /// Tokens that the account paid for.
+    pub prepaid: Tokens,
+    /// Tokens that the holder used.
+    pub used: Tokens,
+    /// Tokens that the holder used or has lent.
+    pub committed: Tokens,
+    /// Present rate of use in tokens per second.
+    pub rate: f64,
+    /// Sums over the other holders.
+    pub others: OtherHolders,
+    /// Number of holders among which the account is first divided.
+    pub parts: u64,
+}
+
+impl HeadroomInput {
+    /// Tokens used in `span` at the present rate.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a rate is small and not negative")]
+    fn expected_use(&self, span: Duration) -> Tokens {
+        Tokens((self.rate * span.as_secs_f64()) as u64)
+    }
+
+    /// This holder's share of the unused credit, by the use of all holders.
+    fn share(&self) -> u128 {
+        let unused = self.prepaid.saturating_sub(self.others.max_used + self.used);
+        let base = self.prepaid.0 / PERCENT * BASE_WEIGHT_PERCENT;
+        let weight = u128::from(self.committed.0 + base);
+        let weights = u128::from(self.others.live_use.0 + self.committed.0 + base * self.parts).max(1);
+        u128::from(unused.0) * weight / weights
+    }
+}
+
+/// Headroom that a holder aims to have above its committed tokens.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TargetHeadroom {
+    /// Headroom below the ceiling.
+    pub base: Tokens,
+    /// Headroom below the ceiling and the reserve together.
+    pub total: Tokens,
+}
+
+impl TargetHeadroom {
+    /// Headroom for a time window of own use, limited to this holder's share of the unused credit.
+    ///
+    /// The less credit an account has left, the less of it may be in doubt when a holder dies, since no other holder
+    /// can use the tokens in doubt.
+    pub fn new(policy: &CeilingPolicy, input: &HeadroomInput) -> Self {
+        let share = input.share();
+        let within = |window: Duration, percent: u64| {
+            let most = Tokens(u64::try_from(share * u128::from(percent) / u128::from(PERCENT)).unwrap_or(u64::MAX));
+            most.min(input.expected_use(window).max(Tokens(most.0 / 2)))
+        };
+        Self { base: within(BASE_WINDOW, policy.base_percent), total: within(policy.window, policy.share_percent) }
+    }
+}
--- /dev/null
+++ b/crates/core/src/holder_credit.rs
@@ -0,0 +1,338 @@
+//! Credit of one holder: before an instance uses credit, it writes to the log how much it may use.
+//!
+//! The log keeps a ceiling for each holder and client account, and the holder never uses more than its ceiling. The
+//! sum of all ceilings of an account stays within the prepaid amount, so no account is overspent, whenever and however
+//! many holders die. The unused part of a dead holder's ceiling is in doubt: no other holder can use it. Ceilings are
+//! therefore kept only a few seconds of use above the amount used.
+//!
+//! Records are appended unconditionally. A holder decides at the log position of its own record whether a raise
+//! counts: it must fit beside the newest earlier records of all other holders. See `docs/CREDIT.md#order`.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::account_credit::{AccountCredit, Limit};
+use crate::ceilings::{AccountCeiling, CeilingTable, HolderRecord, ISOLATION_TIMEOUT, OtherHolders};
+use crate::headroom::{CeilingPolicy, HeadroomInput, PERCENT, TargetHeadroom};
+use crate::lenders::{CreditRole, LENDERS_PER_ACCOUNT};
+use crate::names::ClientAccountName;
+use crate::quarantine::SuspectReport;
+use crate::units::{Instant, Tokens};
+
+/// Contents of a record other than its ceilings.
+#[derive(Clone, Debug, Default)]
+pub struct RecordMetadata {
+    /// Version of the document in force at the holder.
+    pub document: u64,
+    /// Wall-clock time of the holder, in milliseconds since 1970.
+    pub timestamp: u64,
+    /// Requests that the holder suspects of crashing backend servers.
+    pub suspects: Vec<SuspectReport>,
+}
+
+/// A ceiling is raised once its headroom is below this many percent of the target.
+const RAISE_BELOW_PERCENT: u64 = 50;
+
+/// A ceiling is lowered once its headroom is above this many percent of the target.
+const LOWER_ABOVE_PERCENT: u64 = 200;
+
+/// Account whose ceiling is planned.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedAccount<'a> {
+    /// Name of the account.
+    pub name: &'a ClientAccountName,
+    /// Tokens that the account paid for.
+    pub prepaid: Tokens,
+    /// Role of this holder in the account's credit.
+    pub role: CreditRole,
+}
+
+/// Result of [`HolderCredit::reserve`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadroomOutcome {
+    /// The tokens are set aside.
+    Reserved,
+    /// The ceiling is too low; a new record may raise it.
+    NoHeadroom,
+    /// The known use of all holders leaves fewer prepaid tokens than requested, so no raise can help.
+    Exhausted,
+}
+
+/// Credit of one holder for all accounts.
+#[derive(Debug)]
+pub struct HolderCredit {
+    holder: Arc<str>,
+    policy: CeilingPolicy,
+    accounts: BTreeMap<ClientAccountName, AccountCredit>,
+    last_written: Option<Instant>,
+    pending: Option<PendingRecord>,
+}
+
+/// Planned record that was not read back from the log yet.
+#[derive(Clone, Debug)]
+struct PendingRecord {
+    record: HolderRecord,
+    /// Time of the last write before this record.
+    previous_write: Option<Instant>,
+}
+
+impl PendingRecord {
+    /// Whether `record`, as read from the log, is this one.
+    fn matches(&self, record: &HolderRecord) -> bool {
+        self.record.timestamp == record.timestamp && self.record.ceilings == record.ceilings
+    }
+}
+
+impl HolderCredit {
+    /// Starts a holder without any credit.
+    pub const fn new(holder: Arc<str>, policy: CeilingPolicy) -> Self {
+        Self { holder, policy, accounts: BTreeMap::new(), last_written: None, pending: None }
+    }
+
+    /// Name of this holder in the log.
+    pub const fn holder(&self) -> &Arc<str> {
+        &self.holder
+    }
+
+    /// Whether this holder wrote nothing for [`ISOLATION_TIMEOUT`], so that it may use its reserves.
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        self.last_written.is_some_and(|at| now.since(at) > ISOLATION_TIMEOUT)
+    }
+
+    /// Sets aside `bound` tokens, the most that a request may use.
+    pub fn reserve(
+        &mut self,
+        account: &ClientAccountName,
+        bound: Tokens,
+        prepaid: Tokens,
+        now: Instant,
+    ) -> HeadroomOutcome {
+        let isolated = self.is_isolated(now);
+        let credit = self.accounts.entry(account.clone()).or_default();
+        if credit.is_exhausted(bound, prepaid) {
+            return HeadroomOutcome::Exhausted;
+        }
+        if credit.headroom(isolated) < bound {
+            return HeadroomOutcome::NoHeadroom;
+        }
+        credit.reserved += bound;
+        HeadroomOutcome::Reserved
+    }
+
+    /// Counts a request that waits for `bound` tokens, or no longer counts it when `waits` is false.
+    pub fn count_waiting(&mut self, account: &ClientAccountName, bound: Tokens, waits: bool) {
+        let credit = self.accounts.entry(account.clone()).or_default();
+        credit.waiting = if waits { credit.waiting + bound } else { credit.waiting.saturating_sub(bound) };
+    }
+
+    /// Ends a reservation of `bound` tokens, of which the request used `used`.
+    pub fn settle(&mut self, account: &ClientAccountName, bound: Tokens, used: Tokens, now: Instant) {
+        let credit = self.accounts.entry(account.clone()).or_default();
+        let used = used.min(bound);
+        credit.reserved = credit.reserved.saturating_sub(bound);
+        credit.note_use(used, now);
+    }
+
+    /// Tokens of `account` that are used, reserved and allowed at this holder.
+    pub fn usage(&self, account: &ClientAccountName) -> (Tokens, Tokens, Tokens) {
+        let view = |credit: &AccountCredit| {
+            (credit.used, credit.reserved, (credit.limit.ceiling + credit.borrowed).saturating_sub(credit.lent))
+        };
+        self.accounts.get(account).map(view).unwrap_or_default()
+    }
+
+    /// Whether any request waits for a higher ceiling.
+    pub fn has_waiting(&self) -> bool {
+        self.accounts.values().any(|credit| !credit.waiting.is_zero())
+    }
+
+    /// Plans the next record of the prepaid `accounts` and returns it when one is due or `force` is set.
+    ///
+    /// Lowered ceilings are in force at once, raised ones once [`Self::apply_own`] finds that they fit. Reserves cannot
+    /// be used from now on: the record may reach the log, and its timestamp shows that the holder is not isolated.
+    /// Nothing is planned while a record is pending, since it is unknown which of two unread records would count.
+    pub fn plan_record<'a>(
+        &mut self,
+        table: &CeilingTable,
+        metadata: RecordMetadata,
+        accounts: impl IntoIterator<Item = PlannedAccount<'a>>,
+        now: Instant,
+        force: bool,
+    ) -> Option<HolderRecord> {
+        if self.pending.is_some() {
+            return None;
+        }
+        // The other holders' use during the isolation was not read yet, so a reserve sized now would be too large.
+        let was_isolated = self.is_isolated(now);
+        let mut is_due = force;
+        let witnesses = table.witnesses(&self.holder, now);
+        let RecordMetadata { document, timestamp, suspects } = metadata;
+        let mut record = HolderRecord { document, timestamp, witnesses, suspects, ..HolderRecord::default() };
+        for PlannedAccount { name: account, prepaid, role } in accounts {
+            let others = table.others(&self.holder, account, now, self.policy.silence);
+            let credit = self.accounts.entry(account.clone()).or_default();
+            credit.others_used = others.reported;
+            let target = target_headroom(&self.policy, credit, others, prepaid, role, now);
+            let (base, total) = (target.base.max(credit.waiting), target.total.max(credit.waiting));
+            let most = prepaid.saturating_sub(others.allowed).max(credit.committed());
+            // A holder with an older document than the others does not know the prepaid amount and must not raise.
+            let kept = credit.limit.ceiling.max(credit.committed());
+            let most = if document < table.newest_document() { most.min(kept) } else { most };
+            let ceiling = (credit.committed() + base).min(most);
+            let reserve =
+                if was_isolated { Tokens::ZERO } else { total.saturating_sub(base).min(most.saturating_sub(ceiling)) };
+            let headroom = credit.headroom(false).0;
+            let must_raise = ceiling > credit.limit.ceiling
+                && (headroom < base.0 / PERCENT * RAISE_BELOW_PERCENT || !credit.waiting.is_zero());
+            let is_excessive =
+                credit.limit.ceiling > most || headroom > base.0 / PERCENT * LOWER_ABOVE_PERCENT + PERCENT;
+            let must_lower = ceiling < credit.limit.ceiling && is_excessive;
+            is_due |= must_raise || must_lower || credit.is_cut;
+            let planned = AccountCeiling { ceiling, settled: credit.used, reserve };
+            if planned != AccountCeiling::default() {
+                record.ceilings.insert(account.clone(), planned);
+            }
+        }
+        if !is_due {
+            return None;
+        }
+        let previous_write = self.last_written.replace(now);
+        self.pending = Some(PendingRecord { record: record.clone(), previous_write });
+        self.update_limits();
+        Some(record)
+    }
+
+    /// Last record of a holder that shuts down; it lowers the ceilings to the tokens committed.
+    pub fn close(&mut self, document: u64) -> HolderRecord {
+        let final_ceiling = |credit: &AccountCredit| AccountCeiling {
+            ceiling: credit.committed(),
+            settled: credit.used,
+            reserve: Tokens::ZERO,
+        };
+        let ceilings = self.accounts.iter().map(|(account, credit)| (account.clone(), final_ceiling(credit))).collect();
+        let record = HolderRecord { ceilings, document, closed: true, ..HolderRecord::default() };
+        self.pending = Some(PendingRecord { record: record.clone(), previous_write: self.last_written });
+        self.update_limits();
+        record
+    }
+
+    /// Applies this holder's own record at its log position, after all earlier records of other holders, and returns
+    /// the accounts whose raise was cut.
+    ///
+    /// A raise counts as far as it fits beside the amounts that the other holders' newest records request, whether
+    /// those were granted or not. Of two raises that fit only one at a time, the first in the log counts in full.
+    pub fn apply_own(
+        &mut self,
+        record: &HolderRecord,
+        table: &CeilingTable,
+        document: u64,
+        prepaid: impl Fn(&ClientAccountName) -> Option<Tokens>,
+    ) -> Vec<ClientAccountName> {
+        // A holder with an older document than the others does not know the prepaid amount.
+        let is_behind = document < table.newest_document();
+        let holder = Arc::clone(&self.holder);
+        self.apply_limits(record, |account| match prepaid(account) {
+            Some(prepaid) if !is_behind => prepaid.saturating_sub(table.allowed_to_others(&holder, account)),
+            _ => Tokens::ZERO,
+        })
+    }
+
+    /// Applies this holder's newest record when the other holders' earlier records are unknown.
+    ///
+    /// No raise counts, since it may not fit beside those records.
+    pub fn apply_newest(&mut self, record: &HolderRecord) {
+        self.apply_limits(record, |_| Tokens::ZERO);
+    }
+
+    fn apply_limits(
+        &mut self,
+        record: &HolderRecord,
+        fits: impl Fn(&ClientAccountName) -> Tokens,
+    ) -> Vec<ClientAccountName> {
+        let mut cut = Vec::new();
+        for (account, credit) in &mut self.accounts {
+            let requested = Limit::of(record, account);
+            let kept = credit.granted.lower_of(requested);
+            let raised = requested.within(fits(account));
+            credit.is_cut = requested.total() > credit.granted.total().max(raised.total());
+            credit.granted = match credit.is_cut {
+                false => requested,
+                true if raised.total() > kept.total() => raised,
+                true => kept,
+            };
+            if credit.is_cut {
+                cut.push(account.clone());
+            }
+        }
+        self.pending.take_if(|pending| pending.matches(record));
+        self.update_limits();
+        cut
+    }
+
+    /// Credit of `account`, if this holder ever dealt with it.
+    pub(crate) fn account(&self, account: &ClientAccountName) -> Option<&AccountCredit> {
+        self.accounts.get(account)
+    }
+
+    /// Credit of `account`, empty at first.
+    pub(crate) fn account_mut(&mut self, account: &ClientAccountName) -> &mut AccountCredit {
+        self.accounts.entry(account.clone()).or_default()
+    }
+
+    pub(crate) fn accounts(&self) -> impl Iterator<Item = (&ClientAccountName, &AccountCredit)> {
+        self.accounts.iter()
+    }
+
+    pub(crate) fn accounts_mut(&mut self) -> impl Iterator<Item = (&ClientAccountName, &mut AccountCredit)> {
+        self.accounts.iter_mut()
+    }
+
+    /// Whether this holder may use credit by its own ceilings, or a record of it is on its way.
+    pub fn holds_credit(&self) -> bool {
+        self.pending.is_some() || self.accounts.values().any(|credit| !credit.granted.total().is_zero())
+    }
+
+    /// Whether a planned record was not read back from the log yet.
+    pub const fn is_pending(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// Discards the pending record, which was not written and never will be.
+    pub fn discard_pending(&mut self) {
+        if let Some(pending) = self.pending.take() {
+            self.last_written = pending.previous_write;
+        }
+        self.update_limits();
+    }
+
+    /// Time of the newest record that may have reached the log.
+    pub const fn last_written(&self) -> Option<Instant> {
+        self.last_written
+    }
+
+    /// Sets every limit to the lower of the granted one and the one that the pending record requests.
+    fn update_limits(&mut self) {
+        for (account, credit) in &mut self.accounts {
+            let pending = self.pending.as_ref().map(|pending| Limit::of(&pending.record, account));
+            credit.limit = pending.map_or(credit.granted, |requested| credit.granted.lower_of(requested));
+        }
+    }
+}
+
+/// Headroom that a holder in `role` aims to keep; a borrower keeps none.
+fn target_headroom(
+    policy: &CeilingPolicy,
+    credit: &AccountCredit,
+    others: OtherHolders,
+    prepaid: Tokens,
+    role: CreditRole,
+    now: Instant,
+) -> TargetHeadroom {
+    let parts = match role {
+        CreditRole::Shared(fleet) => fleet,
+        CreditRole::Lender => LENDERS_PER_ACCOUNT as u64,
+        CreditRole::Borrower => return TargetHeadroom::default(),
+    };
+    let (used, committed, rate) = (credit.used, credit.used + credit.lent, credit.rate(now));
+    TargetHeadroom::new(policy, &HeadroomInput { prepaid, used, committed, rate, others, parts })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! lives on the sharded [`blackboard`], and each other module makes one kind of decision on it. See
 //! `docs/DESIGN.md` for the design.
 
+mod account_credit;
 pub mod admission;
 pub mod attempts;
 pub mod audit;
@@ -16,9 +17,13 @@
 pub mod document_diff;
 pub mod environments;
 pub mod gossip;
+pub mod headroom;
+pub mod holder_credit;
 pub mod ini;
 pub mod ledger;
+pub mod lenders;
 pub mod link_load;
+pub mod loans;
 pub mod membership;
 pub mod models;
 pub mod names;
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -79,9 +79,20 @@
     losses: BTreeSet<Loss>,
     excused: BTreeSet<Loss>,
     until: Instant,
+    /// Revision of the quarantine at the last change of this suspect.
+    revision: u64,
 }
 
 impl Suspect {
+    fn report(&self, fingerprint: Fingerprint, now: Instant) -> SuspectReport {
+        SuspectReport {
+            fingerprint,
+            losses: self.losses.iter().cloned().collect(),
+            excused: self.excused.iter().cloned().collect(),
+            remaining: self.until.since(now),
+        }
+    }
+
     /// Returns the servers whose loss the request is suspected of.
     fn suspected_servers(&self) -> BTreeSet<&BackendServerName> {
         self.losses.difference(&self.excused).map(|loss| &loss.server).collect()
@@ -102,6 +113,8 @@
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, Suspect>,
     running: BTreeMap<BackendServerName, Fingerprint>,
+    /// Number of changes so far; reports to one peer continue from the revision that it knows.
+    revision: u64,
 }
 
 impl Quarantine {
@@ -116,6 +129,8 @@
         let suspect = self.suspects.entry(fingerprint).or_default();
         suspect.losses.insert(loss);
         suspect.until = now.after(SUSPICION_TTL);
+        self.revision += 1;
+        suspect.revision = self.revision;
         suspect.status(now)
     }
 
@@ -125,6 +140,8 @@
             self.suspects.get_mut(&fingerprint).filter(|known| known.status(now) == QuarantineStatus::Suspect)
         {
             suspect.excused = suspect.losses.clone();
+            self.revision += 1;
+            suspect.revision = self.revision;
         }
     }
 
@@ -162,14 +179,25 @@
 
     /// Returns reports of all suspects that have not expired.
     pub fn reports(&self, now: Instant) -> Vec<SuspectReport> {
-        let live = self.suspects.iter().filter(|(_, suspect)| suspect.until > now);
-        live.map(|(fingerprint, suspect)| SuspectReport {
-            fingerprint: *fingerprint,
-            losses: suspect.losses.iter().cloned().collect(),
-            excused: suspect.excused.iter().cloned().collect(),
-            remaining: suspect.until.since(now),
-        })
-        .collect()
+        self.reports_since(0, usize::MAX, now).0
+    }
+
+    /// Returns reports of up to `limit` suspects that changed after `revision` and have not expired, in the order of
+    /// their changes, and the revision from which to continue.
+    pub fn reports_since(&self, revision: u64, limit: usize, now: Instant) -> (Vec<SuspectReport>, u64) {
+        let is_new = |suspect: &&Suspect| suspect.revision > revision && suspect.until > now;
+        let mut changed: Vec<_> = self.suspects.iter().filter(|(_, suspect)| is_new(suspect)).collect();
+        changed.sort_by_key(|(_, suspect)| suspect.revision);
+        let is_complete = changed.len() <= limit;
+        changed.truncate(limit);
+        let last = changed.last().map_or(self.revision, |(_, suspect)| suspect.revision);
+        let reports = changed.iter().map(|(fingerprint, suspect)| suspect.report(**fingerprint, now)).collect();
+        (reports, if is_complete { self.revision } else { last })
+    }
+
+    /// Number of changes so far.
+    pub const fn revision(&self) -> u64 {
+        self.revision
     }
 
     /// Merges the reports of another instance.
@@ -177,9 +205,14 @@
         for report in reports {
             self.evict_if_full(report.fingerprint, now);
             let suspect = self.suspects.entry(report.fingerprint).or_default();
+            let known = (suspect.losses.len(), suspect.excused.len());
             suspect.losses.extend(report.losses);
             suspect.excused.extend(report.excused);
             suspect.until = suspect.until.max(now.after(report.remaining.min(SUSPICION_TTL)));
+            if known != (suspect.losses.len(), suspect.excused.len()) {
+                self.revision += 1;
+                suspect.revision = self.revision;
+            }
         }
     }
 
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::ceilings::{
-    AccountCeiling, AccountUsage, CeilingPolicy, CeilingTable, CreditRole, HeadroomOutcome, HolderCredit, HolderRecord,
-    ISOLATION_TIMEOUT, RecordMetadata, instance_of,
-};
+use coltsfootpick_core::ceilings::{AccountCeiling, CeilingTable, HolderRecord, ISOLATION_TIMEOUT, instance_of};
+use coltsfootpick_core::headroom::CeilingPolicy;
+use coltsfootpick_core::holder_credit::{HeadroomOutcome, HolderCredit, PlannedAccount, RecordMetadata};
+use coltsfootpick_core::lenders::CreditRole;
+use coltsfootpick_core::loans::{SettlementInbox, SettlementOutbox};
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::units::{Instant, Offset, Tokens};
 use proptest::prelude::*;
@@ -28,6 +29,10 @@
     ClientAccountName::from("clinic")
 }
 
+fn planned(name: &ClientAccountName, prepaid: u64, role: CreditRole) -> [PlannedAccount<'_>; 1] {
+    [PlannedAccount { name, prepaid: Tokens(prepaid), role }]
+}
+
 /// Simulated store: an ordered log of records, and delayed writes whose answer was lost and that may still be applied.
 #[derive(Default)]
 struct Log {
@@ -78,6 +83,10 @@
     sequence: u64,
     /// Write whose answer was lost.
     unconfirmed: Option<Write>,
+    outbox: SettlementOutbox,
+    inbox: SettlementInbox,
+    /// Whether the run holds credit of its own; the others only borrow.
+    is_lender: bool,
 }
 
 /// Simulated small fleet with one account, the true time, and a wall clock for each instance that may be wrong.
@@ -127,6 +136,9 @@
             is_disconnected: false,
             sequence: 0,
             unconfirmed: None,
+            outbox: SettlementOutbox::default(),
+            inbox: SettlementInbox::default(),
+            is_lender: true,
         }
     }
 
@@ -157,7 +169,7 @@
     fn write(&mut self, index: usize, lost: bool, late: bool) {
         let (now, timestamp) = (self.now, self.wall_clock(index, self.now));
         let clocks = self.clocks_at(index);
-        let prepaid = Tokens(self.prepaid);
+        let (prepaid, policy) = (self.prepaid, self.policy);
         let Some(run) = self.runs[index].as_mut().filter(|run| !run.is_disconnected) else { return };
         let own = instance_of(&run.name);
         let account = account();
@@ -166,7 +178,9 @@
             let close = |record: HolderRecord| record.to_closed(record.is_reserve_unused(own, &clocks));
             let mut records: Vec<_> = dead.into_iter().map(|(name, record)| (name, close(record))).collect();
             let metadata = RecordMetadata { document: run.document, timestamp, ..RecordMetadata::default() };
-            let next = run.credit.plan_record(&run.table, metadata, [(&account, prepaid)], now, true);
+            let live = run.table.live_count(&run.name, now, policy.silence) as u64 + 1;
+            let role = if run.is_lender { CreditRole::Shared(live) } else { CreditRole::Borrower };
+            let next = run.credit.plan_record(&run.table, metadata, planned(&account, prepaid, role), now, true);
             records.extend(next.map(|record| (Arc::clone(&run.name), record)));
             Write { writer: Arc::clone(&run.name), sequence: run.sequence, records }
         });
@@ -262,11 +276,34 @@
     }
 
     fn lend(&mut self, from: usize, to: usize, least: u64, is_lost: bool) {
-        let now = self.now;
+        let (now, prepaid) = (self.now, Tokens(self.prepaid));
         let Some(lender) = self.runs[from].as_mut().filter(|_| from != to) else { return };
-        let loan = lender.credit.lend(&account(), Tokens(least), Tokens(least * 3), now);
+        let loan = lender.credit.lend(&account(), Tokens(least), Tokens(least * 3), prepaid, now);
+        let name = Arc::clone(&lender.name);
         if let Some(borrower) = self.runs[to].as_mut().filter(|_| !is_lost) {
-            borrower.credit.borrow(&account(), loan.amount);
+            borrower.credit.borrow(&account(), &name, loan.amount);
+        }
+    }
+
+    /// Settles the loans of `to`, as far as `from` still runs; the request or its answer may be lost.
+    fn settle_loans(&mut self, from: usize, to: usize, lost: Lost) {
+        let now = self.now;
+        let Some(lender) = self.runs[to].as_ref().map(|run| Arc::clone(&run.name)) else { return };
+        let Some(borrower) = self.runs[from].as_mut().filter(|_| from != to) else { return };
+        let name = Arc::clone(&borrower.name);
+        let credit = &mut borrower.credit;
+        let Some(batch) = borrower.outbox.batch(&lender, || credit.collect_settlements(&lender, now)) else { return };
+        if lost == Lost::Request {
+            return;
+        }
+        let run = self.runs[to].as_mut().unwrap();
+        if run.inbox.accept(&name, batch.number) {
+            for entry in &batch.entries {
+                run.credit.apply_settlement(entry, now);
+            }
+        }
+        if let Some(borrower) = self.runs[from].as_mut().filter(|_| lost == Lost::Nothing) {
+            borrower.outbox.confirm(&lender, batch.number);
         }
     }
 
@@ -277,6 +314,14 @@
     }
 }
 
+/// What is lost of an exchange between two instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lost {
+    Nothing,
+    Request,
+    Answer,
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// Time that passes, in milliseconds.
@@ -300,6 +345,10 @@
     Restart(Vec<usize>, u64),
     /// Lender, borrower, smallest loan in tokens, and whether the loan is lost.
     Lend(usize, usize, u64, bool),
+    /// Borrower, lender, and what is lost.
+    SettleLoans(usize, usize, Lost),
+    /// Instance, and whether it holds credit of its own.
+    ChangeRole(usize, bool),
     /// Instance and jump of its wall clock in milliseconds.
     JumpClock(usize, i64),
     Publish,
@@ -325,6 +374,9 @@
         20 => (instance.clone(), 1_000_u64..40_000, 100_u64..40_000).prop_map(|(index, bound, used)| Step::Spend(index, bound, used)),
         8 => (instance.clone(), instance.clone(), 1_000_u64..60_000, prop::bool::weighted(0.2))
             .prop_map(|(from, to, least, lost)| Step::Lend(from, to, least, lost)),
+        8 => (instance.clone(), instance.clone(), prop_oneof![4 => Just(Lost::Nothing), 1 => Just(Lost::Request), 1 => Just(Lost::Answer)])
+            .prop_map(|(from, to, lost)| Step::SettleLoans(from, to, lost)),
+        1 => (instance.clone(), any::<bool>()).prop_map(|(index, is_lender)| Step::ChangeRole(index, is_lender)),
         1 => Just(Step::Publish),
         4 => instance.clone().prop_map(Step::ReadDocument),
         // One clock of four jumps, by up to 4 s, which is more than the isolation timeout.
@@ -354,6 +406,12 @@
         Step::Drain(index) => fleet.drain(index),
         Step::Restart(instances, downtime_ms) => fleet.restart(&instances, downtime_ms),
         Step::Lend(from, to, least, lost) => fleet.lend(from, to, least, lost),
+        Step::SettleLoans(from, to, lost) => fleet.settle_loans(from, to, lost),
+        Step::ChangeRole(index, is_lender) => {
+            if let Some(run) = &mut fleet.runs[index] {
+                run.is_lender = is_lender;
+            }
+        }
         Step::Publish => fleet.version += 1,
         Step::ReadDocument(index) => fleet.read_document(index),
         Step::JumpClock(index, jump) => fleet.clock_errors[index] += jump,
@@ -509,9 +567,11 @@
     let now = Instant(Duration::from_secs(5));
     table.apply(&other, HolderRecord { ceilings, ..HolderRecord::default() }, now);
     let mut credit = HolderCredit::new("edge-0/1".into(), CeilingPolicy::default());
-    credit.plan_record(&table, RecordMetadata::default(), [(&account(), Tokens(1_000))], now, true);
-    assert_eq!(credit.reserve(&account(), Tokens(11), Tokens(1_000), now), HeadroomOutcome::Exhausted);
-    assert_eq!(credit.reserve(&account(), Tokens(10), Tokens(1_000), now), HeadroomOutcome::NoHeadroom);
+    let account = account();
+    let accounts = planned(&account, 1_000, CreditRole::Shared(2));
+    credit.plan_record(&table, RecordMetadata::default(), accounts, now, true);
+    assert_eq!(credit.reserve(&account, Tokens(11), Tokens(1_000), now), HeadroomOutcome::Exhausted);
+    assert_eq!(credit.reserve(&account, Tokens(10), Tokens(1_000), now), HeadroomOutcome::NoHeadroom);
 }
 
 #[test]
@@ -530,46 +590,16 @@
 fn borrowed_headroom() {
     let mut fleet = running_fleet();
     let run = fleet.runs[0].as_mut().unwrap();
-    run.credit.borrow(&account(), Tokens(PREPAID / 2));
+    run.credit.borrow(&account(), &"edge-9/1".into(), Tokens(PREPAID / 2));
     fleet.renew(0);
     let run = fleet.runs[0].as_mut().unwrap();
     let metadata = RecordMetadata { document: 1, timestamp: 1, ..RecordMetadata::default() };
-    let second = run.credit.plan_record(&run.table, metadata, [(&account(), Tokens(PREPAID))], fleet.now, false);
+    let account = account();
+    let accounts = planned(&account, PREPAID, CreditRole::Shared(4));
+    let second = run.credit.plan_record(&run.table, metadata, accounts, fleet.now, false);
     assert_eq!(second, None);
 }
 
-/// Table of `fleet` instances that each used `used` tokens, and the names of their runs.
-fn table_of(fleet: usize, used: u64, now: Instant) -> (CeilingTable, Vec<Arc<str>>) {
-    let mut table = CeilingTable::default();
-    let names: Vec<Arc<str>> = (0..fleet).map(|index| format!("edge-{index}/1").into()).collect();
-    let ceiling = AccountCeiling { settled: Tokens(used), ..AccountCeiling::default() };
-    for name in &names {
-        let ceilings = [(account(), ceiling)].into();
-        table.apply(name, HolderRecord { ceilings, ..HolderRecord::default() }, now);
-    }
-    (table, names)
-}
-
-#[test]
-fn few_lenders() {
-    let now = Instant(Duration::from_secs(100));
-    let silence = CeilingPolicy::default().silence;
-    let (table, names) = table_of(67, 100, now);
-    let (account, prepaid) = (account(), Tokens(PREPAID));
-    let role = |name: &str, used: u64| {
-        let usage = AccountUsage { account: &account, used: Tokens(used), prepaid };
-        table.credit_role(name, usage, now, silence)
-    };
-    let lenders = names.iter().filter(|name| role(name, 100) == CreditRole::Lender).count();
-    assert_eq!(lenders, 2);
-    let borrower = names.iter().find(|name| role(name, 100) == CreditRole::Borrower).unwrap();
-    assert_eq!(role(borrower, 20_000), CreditRole::Lender, "a heavy user is a lender");
-    assert_eq!(role(borrower, 4_000), CreditRole::Borrower, "a light user is a borrower");
-    let (small, names) = table_of(6, 100, now);
-    let usage = AccountUsage { account: &account, used: Tokens(100), prepaid };
-    assert_eq!(small.credit_role(&names[0], usage, now, silence), CreditRole::Shared(6));
-}
-
 /// Every holder appends a raise before it reads the others' raises. Each raise fits alone, but all together do not.
 #[test]
 fn first_raises_count() {
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -4,8 +4,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use coltsfootpick_core::lenders::{CreditRole, Fleet, FleetMember};
 use coltsfootpick_core::link_load::{LinkChange, LinkLoad};
-use coltsfootpick_core::names::ServiceName;
+use coltsfootpick_core::names::{ClientAccountName, ServiceName};
 use coltsfootpick_core::quarantine::Quarantine;
 use coltsfootpick_core::retry::{RetryBudget, RetryRatio};
 use coltsfootpick_core::routes::RouteTable;
@@ -59,6 +60,8 @@
     pub retries: RetryLimit,
     /// Capacity of the network link in bytes per second and direction, if known.
     pub link_rate: Option<f64>,
+    /// Share of a processor core that the instance may use, in thousandths; 0 if unknown.
+    pub capacity: u32,
 }
 
 /// Limit on retries over all instances: dispatches beyond the first of each request, in a sliding window.
@@ -102,6 +105,9 @@
     routes: RwLock<Option<Arc<RouteTable>>>,
     document_versions: watch::Sender<u64>,
     servers_listed: AtomicBool,
+    store_answers: AtomicBool,
+    fleet: RwLock<Fleet>,
+    fleet_listed: CancellationToken,
     fleet_size: AtomicUsize,
     open_requests: AtomicU64,
     retry_budgets: Mutex<std::collections::BTreeMap<ServiceName, RetryBudget>>,
@@ -124,6 +130,9 @@
             routes: RwLock::default(),
             document_versions: watch::Sender::new(0),
             servers_listed: AtomicBool::new(false),
+            store_answers: AtomicBool::new(true),
+            fleet: RwLock::default(),
+            fleet_listed: CancellationToken::new(),
             fleet_size: AtomicUsize::new(FLEET_SIZE_MIN),
             open_requests: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
@@ -197,6 +206,56 @@
         self.fleet_size.fetch_max(size, Ordering::Relaxed);
     }
 
+    /// Adds an instance to the fleet list.
+    pub fn note_member(&self, instance: &Arc<str>, member: FleetMember) {
+        let size = {
+            let mut fleet = self.fleet.write();
+            fleet.insert(instance, member);
+            fleet.len()
+        };
+        self.note_fleet_size(size);
+    }
+
+    /// Records that the fleet list was read at least once.
+    pub fn mark_fleet_listed(&self) {
+        self.fleet_listed.cancel();
+    }
+
+    /// Waits until the fleet list was read once, at most for `limit`.
+    pub async fn wait_for_fleet(&self, limit: Duration) -> bool {
+        tokio::time::timeout(limit, self.fleet_listed.cancelled()).await.is_ok()
+    }
+
+    /// Whether the fleet is so small that every instance holds credit of every account.
+    pub fn is_shared_fleet(&self) -> bool {
+        self.fleet.read().is_shared()
+    }
+
+    /// Role of this instance in the credit of `account`; a small fleet has `live` live instances.
+    pub fn credit_role(&self, account: &ClientAccountName, live: u64) -> CreditRole {
+        self.fleet.read().role(&self.instance.name, account, live)
+    }
+
+    /// Instances that lend credit of `account` in a large fleet, in the order in which they are asked.
+    pub fn lenders_of(&self, account: &ClientAccountName) -> Vec<Arc<str>> {
+        self.fleet.read().lenders_of(account)
+    }
+
+    /// All lenders of a large fleet.
+    pub fn lenders(&self) -> Vec<Arc<str>> {
+        self.fleet.read().lenders().to_vec()
+    }
+
+    /// Records whether the last call to the store was answered.
+    pub fn note_store_answer(&self, is_answered: bool) {
+        self.store_answers.store(is_answered, Ordering::Relaxed);
+    }
+
+    /// Whether the last call to the store was answered.
+    pub fn store_answers(&self) -> bool {
+        self.store_answers.load(Ordering::Relaxed)
+    }
+
     /// Number of open requests.
     pub fn open_requests(&self) -> u64 {
         self.open_requests.load(Ordering::Relaxed)
--- a/crates/serving/src/counted_log.rs
+++ b/crates/serving/src/counted_log.rs
@@ -36,6 +36,7 @@
             Err(StoreError::OutOfSequence(_)) => "out-of-turn",
         };
         Metrics::count(&self.board.metrics.store_calls, outcome);
+        self.board.note_store_answer(!matches!(result, Err(StoreError::Unavailable(_) | StoreError::Unknown(_))));
         if wait.is_zero() {
             self.board.metrics.store_latency.observe(started.elapsed().as_secs_f64());
         }
--- /dev/null
+++ b/crates/serving/src/credit_recovery.rs
@@ -0,0 +1,78 @@
+//! Closes the credit of earlier runs of this instance, and takes back reserves that they cannot have used.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootpick_core::ceilings::{HolderRecord, instance_of};
+
+use crate::credit_controller::CreditController;
+use crate::credit_renewal::HolderRecords;
+use crate::log_event;
+use crate::log_events::LogEvent;
+use crate::peer_client::PeerRequest;
+
+/// Longest wait for the clocks of other instances; after it, an earlier run is closed without taking back its reserve
+/// unless the known clocks prove that the reserve is unused.
+const CLOCK_TIMEOUT: Duration = Duration::from_millis(1_800);
+
+/// Maximum number of peers that are asked for their clocks at a time.
+const CLOCK_PEERS_MAX: usize = 8;
+
+impl CreditController {
+    /// Returns records that close earlier runs of this instance and reclaim the reserves that they cannot have used.
+    ///
+    /// The platform starts a run only after the previous one has ended, so earlier runs use no more credit. Runs that
+    /// need further peers' clocks as proof are left for the next renewal.
+    pub(crate) fn close_earlier_runs(self: &Arc<Self>) -> HolderRecords {
+        let instance = instance_of(self.holder());
+        let earlier = self.ceilings.lock().predecessors(self.holder());
+        let clocks = self.start_times();
+        let is_timed_out = self.started.elapsed() > CLOCK_TIMEOUT;
+        let mut closed = Vec::with_capacity(earlier.len());
+        for (name, record) in earlier {
+            let is_unused = record.is_reserve_unused(instance, &clocks);
+            if is_unused || is_timed_out || record.is_stale(instance, &clocks) {
+                let age = record.max_age(instance, &clocks);
+                log_event!(LogEvent::RunClosed, "run={name} age={age:?} clocks={} unused={is_unused}", clocks.len());
+                closed.push((name, record.to_closed(is_unused)));
+            } else {
+                self.request_clocks(&record);
+            }
+        }
+        closed
+    }
+
+    pub(crate) fn has_earlier_runs(&self) -> bool {
+        !self.ceilings.lock().predecessors(self.holder()).is_empty()
+    }
+
+    /// Unix times in milliseconds at which this run started, by the clocks of this instance and of its peers.
+    fn start_times(&self) -> BTreeMap<Arc<str>, u64> {
+        let run_millis = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut clocks = self.peer_starts.lock().clone();
+        let own = self.board.clock.unix_millis().saturating_sub(run_millis);
+        clocks.insert(Arc::clone(&self.board.instance.name), own);
+        clocks
+    }
+
+    /// Asks peers for their clocks, those that `record` names as witnesses first.
+    fn request_clocks(self: &Arc<Self>, record: &HolderRecord) {
+        let known = self.peer_starts.lock().clone();
+        let witnesses = record.witnesses.keys().filter_map(|instance| self.peers.available_run(instance));
+        let mut peers: Vec<Arc<str>> = witnesses.collect();
+        peers.extend(self.peers.available().into_iter().take(CLOCK_PEERS_MAX));
+        peers.retain(|peer| !known.contains_key(instance_of(peer)));
+        for peer in peers.into_iter().take(CLOCK_PEERS_MAX) {
+            let (controller, name) = (Arc::clone(self), Arc::clone(&peer));
+            let note = move |answer: Option<_>| controller.note_answer(&name, answer.as_ref());
+            self.peers.send(&peer, PeerRequest::default(), Box::new(note));
+        }
+    }
+
+    /// Records the wall-clock time at `peer`, in milliseconds since the Unix epoch.
+    pub(crate) fn note_clock(&self, peer: &str, clock: u64) {
+        let run_millis = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.peer_starts.lock().insert(Arc::from(instance_of(peer)), clock.saturating_sub(run_millis));
+    }
+}
--- a/crates/serving/src/drain.rs
+++ b/crates/serving/src/drain.rs
@@ -44,8 +44,9 @@
     board.open_requests()
 }
 
-/// Writes the final credit record of this instance, which returns its unused credit.
-pub async fn return_credit(controller: &CreditController, timeout: Duration) {
+/// Settles the loans of this instance and writes its final credit record, which returns its unused credit.
+pub async fn return_credit(controller: &Arc<CreditController>, timeout: Duration) {
+    controller.settle_last().await;
     let is_closed = tokio::time::timeout(timeout, controller.close()).await;
     log_event!(LogEvent::Stopped, "credit-returned={}", matches!(is_closed, Ok(true)));
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,9 +13,14 @@
 
 pub mod crash_detection;
 pub mod credit_controller;
+mod credit_loans;
+mod credit_recovery;
+mod credit_renewal;
 pub mod dispatch;
 pub mod drain;
-pub mod peers;
+pub mod peer_client;
+pub mod peer_list;
+pub mod peer_server;
 
 pub mod document_controller;
 pub mod server_controller;
--- /dev/null
+++ b/crates/serving/src/peer_list.rs
@@ -0,0 +1,109 @@
+//! List of the other instances, and the record with which this instance joins it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootpick_core::lenders::FleetMember;
+use coltsfootpick_core::names::AvailabilityZoneName;
+use coltsfootpick_wire::loans::InstanceMessage;
+use prost::Message;
+use tokio_util::sync::CancellationToken;
+
+use crate::blackboard::{Blackboard, InstanceSpec};
+use crate::credit_controller::CreditController;
+use crate::interfaces::{KeyedLog, KeyedRecord, Topic};
+use crate::log_event;
+use crate::log_events::LogEvent;
+use crate::topic_reader::RecordSink;
+
+/// Pause before a failed write of the instance record is tried again.
+const PUBLISH_RETRY: Duration = Duration::from_millis(500);
+
+/// Record that publishes the address, zone and capacity of this run.
+pub fn instance_record(instance: &InstanceSpec, address: SocketAddr, holder: &Arc<str>) -> KeyedRecord {
+    let message = InstanceMessage {
+        address: address.to_string(),
+        holder: holder.to_string(),
+        zone: instance.location.zone.to_string(),
+        capacity: instance.capacity,
+    };
+    KeyedRecord { key: Arc::clone(&instance.name), value: Some(message.encode_to_vec().into()) }
+}
+
+/// Writes the instance record until it succeeds; writing it more than once is harmless.
+pub async fn publish_record(store: Arc<dyn KeyedLog>, record: KeyedRecord, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        match store.append(Topic::Instances, None, vec![record.clone()]).await {
+            Ok(_) => return,
+            Err(error) => log_event!(LogEvent::DependencyLost, "store topic=instances error={error:?}"),
+        }
+        tokio::time::sleep(PUBLISH_RETRY).await;
+    }
+}
+
+/// Controller that keeps the list of instances in line with their records.
+#[derive(Debug)]
+pub struct PeerController {
+    board: Arc<Blackboard>,
+    credit: Arc<CreditController>,
+    /// Whether the first records are read, of which one line is written in total.
+    is_first: bool,
+}
+
+impl PeerController {
+    /// Creates a controller that updates the fleet list of `board` and the peers of `credit`.
+    pub const fn new(board: Arc<Blackboard>, credit: Arc<CreditController>) -> Self {
+        Self { board, credit, is_first: true }
+    }
+
+    fn decode(record: &KeyedRecord) -> Result<(Arc<str>, SocketAddr, FleetMember), String> {
+        let value = record.value.clone().unwrap_or_default();
+        let message = InstanceMessage::decode(value).map_err(|error| error.to_string())?;
+        let address = message.address.parse().map_err(|error| format!("address {:?}: {error}", message.address))?;
+        let zone = AvailabilityZoneName::from(message.zone.as_str());
+        Ok((message.holder.into(), address, FleetMember { zone, capacity: message.capacity }))
+    }
+}
+
+impl RecordSink for PeerController {
+    fn replace_all(&mut self, records: Vec<KeyedRecord>) {
+        let count = records.len();
+        for record in records {
+            self.apply(record);
+        }
+        if std::mem::take(&mut self.is_first) {
+            log_event!(LogEvent::PeerListed, "instances={count}");
+        }
+        self.board.mark_fleet_listed();
+    }
+
+    fn apply(&mut self, record: KeyedRecord) {
+        if record.value.is_none() {
+            return;
+        }
+        match Self::decode(&record) {
+            Ok((run, address, member)) => {
+                self.board.note_member(&record.key, member);
+                if run == *self.credit.holder() {
+                    return;
+                }
+                let before = self.credit.peers().add(&record.key, &run, address);
+                if let Some(before) = &before {
+                    self.credit.forget_run(before);
+                }
+                if !self.is_first {
+                    let before = before.as_deref().unwrap_or("none");
+                    log_event!(LogEvent::PeerListed, "peer={run} address={address} before={before}");
+                }
+            }
+            Err(reason) => {
+                log_event!(LogEvent::RecordSkipped, "topic=instances key={:?} reason={reason}", record.key);
+            }
+        }
+    }
+
+    fn note_recovery(&mut self, _outage: Duration) {}
+
+    fn tick(&mut self) {}
+}
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::ceilings::CeilingPolicy;
+use coltsfootpick_core::headroom::CeilingPolicy;
 use coltsfootpick_core::ini::{self, Fault, Section, fault};
 use coltsfootpick_core::names::{AvailabilityZoneName, RegionName};
 use coltsfootpick_core::selection::Location;
@@ -50,6 +50,9 @@
 /// Range of accepted link capacities, in megabits per second.
 const LINK_RANGE_MBPS: std::ops::RangeInclusive<f64> = 0.001..=1e9;
 
+/// Largest accepted share of processor cores.
+const CPU_SHARE_MAX: f64 = 1_024.0;
+
 /// Sections of the file; each appears at most once.
 const SECTIONS: [&str; 6] = ["instance", "listen", "store", "credit", "repeats", "logs"];
 
@@ -88,6 +91,7 @@
                     location: location?,
                     retries: read_retry_limit(&mut repeats),
                     link_rate: read_link_rate(&mut instance),
+                    capacity: read_capacity(&mut instance),
                 },
                 locations,
                 caller_address: required_address(&mut listen, "callers")?,
@@ -132,6 +136,12 @@
     }
 }
 
+/// Reads the share of a processor core in thousandths, or 0 if the file does not state it.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the value lies within the checked range")]
+fn read_capacity(instance: &mut Section) -> u32 {
+    (instance.decimal("cpu-share", 0.0..=CPU_SHARE_MAX, 0.0) * 1e3) as u32
+}
+
 /// Reads the link capacity in bytes per second; without one, the link counts as unlimited.
 fn read_link_rate(instance: &mut Section) -> Option<f64> {
     instance.text("link-mbps").filter(|text| !text.is_empty())?;
--- a/crates/serving/tests/credit.rs
+++ b/crates/serving/tests/credit.rs
@@ -8,12 +8,11 @@
 use coltsfootpick_core::units::Tokens;
 use coltsfootpick_serving::credit_controller::{CreditController, CreditReservation};
 use coltsfootpick_serving::interfaces::{KeyedRecord, Topic};
-use coltsfootpick_serving::peers::{PeerController, serve_peers};
+use coltsfootpick_serving::peer_list::{PeerController, instance_record};
+use coltsfootpick_serving::peer_server::serve_peers;
 use coltsfootpick_serving::topic_reader::RecordSink;
 use coltsfootpick_testkit::keyed_store::{KeyedStore, StoreFault};
 use coltsfootpick_testkit::request_harness::{ACCOUNT, PREPAID, RequestHarness};
-use coltsfootpick_wire::loans::InstanceMessage;
-use prost::Message;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
@@ -111,16 +110,14 @@
 
 async fn serve_loans(harness: &RequestHarness) -> KeyedRecord {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    tokio::spawn(serve_peers(listener, Arc::<CreditController>::clone(&harness.handler.credit)));
-    let holder = harness.handler.credit.holder().to_string();
-    let key = Arc::clone(&harness.handler.board.instance.name);
-    KeyedRecord { key, value: Some(InstanceMessage { address, holder }.encode_to_vec().into()) }
+    let address = listener.local_addr().unwrap();
+    let credit = &harness.handler.credit;
+    tokio::spawn(serve_peers(listener, Arc::<CreditController>::clone(credit)));
+    instance_record(&harness.handler.board.instance, address, credit.holder())
 }
 
 fn add_peer(harness: &RequestHarness, record: KeyedRecord) {
-    PeerController { peers: Arc::clone(harness.handler.credit.peers()), runs: std::collections::BTreeMap::new() }
-        .apply(record);
+    PeerController::new(Arc::clone(&harness.handler.board), Arc::clone(&harness.handler.credit)).apply(record);
 }
 
 #[tokio::test]
--- a/crates/testkit/src/request_harness.rs
+++ b/crates/testkit/src/request_harness.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::ceilings::CeilingPolicy;
+use coltsfootpick_core::headroom::CeilingPolicy;
 use coltsfootpick_core::routes::{AccountSpec, CallerLimits, EngineSpec, RepeatPolicy, Route, RouteTable, ServiceSpec};
 use coltsfootpick_core::selection::Generation;
 use coltsfootpick_core::units::Tokens;
@@ -77,18 +77,20 @@
     /// Starts the instance as [`Self::start`] does, with a network link that carries `link_rate` bytes per second.
     pub fn with_link_rate(name: &str, store: &KeyedStore, servers: &[SocketAddr], link_rate: Option<f64>) -> Self {
         let retries = RetryLimit { ratio: 0.2, slack: 52 };
-        let instance = InstanceSpec { name: name.into(), location: test_location(), retries, link_rate };
+        let instance = InstanceSpec { name: name.into(), location: test_location(), retries, link_rate, capacity: 0 };
         let board = Blackboard::new(instance);
         board.install_routes(route_table(1, PREPAID));
         for (address, letter) in servers.iter().zip('a'..) {
             board.servers.put(server_entry(&letter.to_string(), *address));
         }
         board.mark_servers_listed();
+        board.mark_fleet_listed();
         let holder: Arc<str> = format!("{name}/{:x}", rand::random::<u32>()).into();
         let policy = CeilingPolicy::default();
         let controller = CreditController::new(Arc::clone(&board), Arc::new(store.clone()), holder, policy);
         let stop = CancellationToken::new();
         tokio::spawn(Arc::clone(&controller).run(stop.clone()));
+        tokio::spawn(Arc::clone(&controller).settle_loans(stop.clone()));
         Self { handler: RequestHandler { board, credit: controller, protocol: Arc::new(PlainProtocol) }, stop }
     }
 
--- a/crates/wire/src/ceilings.rs
+++ b/crates/wire/src/ceilings.rs
@@ -112,7 +112,7 @@
 }
 
 /// Converts to the core's type; `None` when the fingerprint has another length than in this version.
-fn into_report(message: StoredSuspectMessage) -> Option<SuspectReport> {
+pub fn into_report(message: StoredSuspectMessage) -> Option<SuspectReport> {
     Some(SuspectReport {
         fingerprint: Fingerprint(message.fingerprint.try_into().ok()?),
         losses: message.losses.into_iter().map(Into::into).collect(),
--- a/crates/wire/src/loans.rs
+++ b/crates/wire/src/loans.rs
@@ -1,7 +1,12 @@
 //! Messages with which instances lend credit to each other, and the record that says where an instance listens.
 
+use coltsfootpick_core::loans::LoanSettlement;
+use coltsfootpick_core::names::ClientAccountName;
+use coltsfootpick_core::units::Tokens;
 use prost::Message;
 
+use crate::ceilings::StoredSuspectMessage;
+
 /// Record of an instance's address in the store; only the newest record of each instance name counts.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct InstanceMessage {
@@ -11,6 +16,43 @@
     /// Name under which the current run of the instance holds credit.
     #[prost(string, tag = "2")]
     pub holder: String,
+    /// Availability zone of the instance.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Share of a processor core that the instance may use, in thousandths; 0 if unknown.
+    #[prost(uint32, tag = "4")]
+    pub capacity: u32,
+}
+
+/// What a borrower used and returns of the receiver's loans for one account.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LoanSettlementMessage {
+    /// Name of the client account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// Tokens used.
+    #[prost(uint64, tag = "2")]
+    pub used: u64,
+    /// Tokens returned unused.
+    #[prost(uint64, tag = "3")]
+    pub returned: u64,
+}
+
+impl From<&LoanSettlement> for LoanSettlementMessage {
+    fn from(settlement: &LoanSettlement) -> Self {
+        let LoanSettlement { account, used, returned } = settlement;
+        Self { account: account.to_string(), used: used.0, returned: returned.0 }
+    }
+}
+
+impl From<LoanSettlementMessage> for LoanSettlement {
+    fn from(message: LoanSettlementMessage) -> Self {
+        Self {
+            account: ClientAccountName::from(message.account),
+            used: Tokens(message.used),
+            returned: Tokens(message.returned),
+        }
+    }
 }
 
 /// Request for a loan out of the receiver's headroom.
@@ -34,6 +76,15 @@
     /// Ids of the borrower's earlier requests that got no response; the lender takes back its loans for them.
     #[prost(uint64, repeated, tag = "6")]
     pub cancelled: Vec<u64>,
+    /// Number of the batch in `settlements`; 0 when there is none.
+    #[prost(uint64, tag = "7")]
+    pub settlement_number: u64,
+    /// Settlements of earlier loans, which take effect once for each number.
+    #[prost(message, repeated, tag = "8")]
+    pub settlements: Vec<LoanSettlementMessage>,
+    /// Requests suspected of crashing backend servers, as far as the receiver may not know them.
+    #[prost(message, repeated, tag = "9")]
+    pub suspects: Vec<StoredSuspectMessage>,
 }
 
 /// Response to a loan request.
@@ -54,4 +105,10 @@
     /// Time of day at the lender, in milliseconds since 1970.
     #[prost(uint64, tag = "5")]
     pub timestamp: u64,
+    /// True when the known use of all holders leaves fewer tokens than [`LoanRequestMessage::least`].
+    #[prost(bool, tag = "6")]
+    pub exhausted: bool,
+    /// Requests suspected of crashing backend servers, as far as the borrower may not know them.
+    #[prost(message, repeated, tag = "7")]
+    pub suspects: Vec<StoredSuspectMessage>,
 }
