Heed leaving and pauses told by answers, and cut bytes without end

Cause: a leaving server was known by its store entry only, a server's Retry-After was ignored, and an endless head, body or event was buffered up to the deadline: 12 s at 20 Mbit/s is 30 MB a stream in an 88 MB instance. Change: Server-Leaving on any answer but a 421 stops new work to that run of the server, also after its removal and whatever an older entry says. Retry-After on a 503 pauses the server for this instance; unreadable values are logged and ignored, long ones cut at an hour; when all servers of a service pause, a request is refused at once with the shortest rest, spread by a quarter. Heads end at 64 KiB, events at 256 KiB, bodies at 4 MiB each and 24 MiB together, streams at 1,024 events beyond their output tokens; each counts, logs CP1207 and closes its connection.

--- a/crates/serving/src/admitted_request.rs
+++ b/crates/serving/src/admitted_request.rs
@@ -15,6 +15,9 @@
 /// Events charged beyond those read from an open stream: the server may have sent them before it notices a disconnect.
 const EVENTS_IN_FLIGHT: u64 = 10;
 
+/// Events that a stream may contain beyond one for each output token, such as comments and an end mark.
+const EVENTS_BEYOND_OUTPUT: u64 = 1_024;
+
 /// Progress of a generation, from which its charge is computed.
 #[derive(Clone, Copy, Debug)]
 pub enum GenerationProgress {
@@ -74,6 +77,12 @@
         });
     }
 
+    /// Maximum number of events that its server may send; a server that sends more is not answering this request.
+    pub fn events_max(&self) -> u64 {
+        let output = self.request.generation.as_ref().map_or(u64::MAX, |generation| generation.output.0);
+        output.saturating_add(EVENTS_BEYOND_OUTPUT)
+    }
+
     /// Whether the request may be dispatched again although an earlier dispatch may have run it.
     pub fn may_repeat(&self) -> bool {
         self.route.repeat != RepeatPolicy::AtMostOnce && self.dispatches < self.route.max_attempts
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::buffered_body::BufferedTotal;
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::metrics::Metrics;
@@ -92,6 +93,8 @@
     pub link: Mutex<LinkLoad>,
     /// Requests that are suspected of crashing servers.
     pub quarantine: Mutex<Quarantine>,
+    /// Bytes of response bodies that are being buffered.
+    pub buffered: BufferedTotal,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Cancelled when the instance reports itself as not ready, so that callers go to other instances.
@@ -122,6 +125,7 @@
             clock: InstanceClock::default(),
             servers: ServerTable::default(),
             quarantine: Mutex::default(),
+            buffered: BufferedTotal::default(),
             metrics: Metrics::default(),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
--- /dev/null
+++ b/crates/serving/src/buffered_body.rs
@@ -0,0 +1,106 @@
+//! Buffer for a response body, limited for each response and for the whole process, so that servers that send bytes
+//! without end cannot exhaust the memory.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error};
+
+/// Maximum length of one buffered body.
+const BODY_MAX_BYTES: usize = 4 << 20;
+
+/// Bytes of each body that do not count against the limit of the process, so that a few long bodies cannot displace
+/// the usual short ones.
+const UNCOUNTED_BYTES: usize = 64 << 10;
+
+/// Length of a full segment of a body.
+const SEGMENT_BYTES: usize = 64 << 10;
+
+/// Least capacity of a new segment.
+const SEGMENT_MIN_BYTES: usize = 2 << 10;
+
+/// Maximum number of counted bytes of all bodies together.
+const TOTAL_MAX_BYTES: usize = 24 << 20;
+
+/// Limit that a body exceeded.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum BodyLimit {
+    /// The body is longer than one body may be.
+    #[display("the body exceeds {BODY_MAX_BYTES} bytes")]
+    Body,
+    /// All buffered bodies together are longer than allowed.
+    #[display("the buffered bodies exceed {TOTAL_MAX_BYTES} bytes together")]
+    Total,
+}
+
+/// Counted bytes of all bodies that one process buffers.
+#[derive(Debug, Default)]
+pub struct BufferedTotal(AtomicUsize);
+
+impl BufferedTotal {
+    fn add(&self, count: usize) -> bool {
+        let within = |total: usize| total.checked_add(count).filter(|sum| *sum <= TOTAL_MAX_BYTES);
+        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, within).is_ok()
+    }
+}
+
+/// Body that is being buffered; dropping it releases its bytes.
+#[derive(Debug)]
+pub struct BufferedBody<'a> {
+    total: &'a BufferedTotal,
+    /// Full segments and a last one that is being filled. Segments do not grow, which would need twice their memory.
+    segments: Vec<BytesMut>,
+    length: usize,
+    counted: usize,
+}
+
+impl<'a> BufferedBody<'a> {
+    /// Starts an empty body that counts against `total`.
+    pub fn new(total: &'a BufferedTotal) -> Self {
+        Self { total, segments: Vec::new(), length: 0, counted: 0 }
+    }
+
+    /// Appends bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a limit would be exceeded.
+    pub fn push(&mut self, mut data: Bytes) -> Result<(), BodyLimit> {
+        let length = self.length + data.len();
+        if length > BODY_MAX_BYTES {
+            return Err(BodyLimit::Body);
+        }
+        let more = length.saturating_sub(UNCOUNTED_BYTES).saturating_sub(self.counted);
+        if !self.total.add(more) {
+            return Err(BodyLimit::Total);
+        }
+        self.counted += more;
+        self.length = length;
+        while !data.is_empty() {
+            let segment = match self.segments.last_mut() {
+                Some(last) if last.len() < SEGMENT_BYTES => last,
+                _ => {
+                    let capacity = data.len().clamp(SEGMENT_MIN_BYTES, SEGMENT_BYTES);
+                    self.segments.push_mut(BytesMut::with_capacity(capacity))
+                }
+            };
+            let part = data.split_to(data.len().min(SEGMENT_BYTES - segment.len()));
+            segment.extend_from_slice(&part);
+        }
+        Ok(())
+    }
+
+    /// The complete body.
+    pub fn into_bytes(mut self) -> Bytes {
+        match std::mem::take(&mut self.segments) {
+            mut segments if segments.len() <= 1 => segments.pop().unwrap_or_default().freeze(),
+            segments => segments.concat().into(),
+        }
+    }
+}
+
+impl Drop for BufferedBody<'_> {
+    fn drop(&mut self) {
+        self.total.0.fetch_sub(self.counted, Ordering::Relaxed);
+    }
+}
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -7,18 +7,21 @@
 use coltsfootpick_core::selection::{Generation, Selection};
 use derive_more::Display;
 use http::response::Parts;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::blackboard::Blackboard;
-use crate::interfaces::{BackendProtocol, DispatchContext, ResponseKind};
+use crate::buffered_body::BufferedBody;
+use crate::interfaces::{BackendProtocol, DispatchContext, ResponseKind, ServerNotice};
+use crate::log_event;
+use crate::log_events::LogEvent;
 use crate::pool::{ConnectError, Lease};
 use crate::request::CallerRequest;
 use crate::servers::Server;
 
-/// Maximum length of a response body that is buffered before it is passed to the caller.
-const BUFFERED_MAX_BYTES: usize = 8 << 20;
+/// Longest pause that a server can ask for.
+const PAUSE_MAX: Duration = Duration::from_secs(3_600);
 
 /// Reason why a dispatch brought no response that can be passed to the caller.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -120,18 +123,55 @@
     }
 
     /// Reads the whole body into memory and returns the connection to the pool.
-    pub async fn read_body(mut self, server: &Server, deadline: Instant) -> Result<(Parts, Bytes), DispatchError> {
-        let body = Limited::new(&mut self.body, BUFFERED_MAX_BYTES).collect();
-        match tokio::time::timeout_at(deadline, body).await {
-            Ok(Ok(collected)) => {
-                let head = self.head.clone();
-                self.release_connection(server);
-                Ok((head, collected.to_bytes()))
-            }
-            Ok(Err(error)) => Err(DispatchError::Unknown(error.to_string())),
-            Err(_) => Err(DispatchError::DeadlinePassed),
+    pub async fn read_body(
+        mut self,
+        board: &Blackboard,
+        server: &Server,
+        deadline: Instant,
+    ) -> Result<(Parts, Bytes), DispatchError> {
+        let body = tokio::time::timeout_at(deadline, collect_body(board, server, &mut self.body));
+        let body = body.await.map_err(|_elapsed| DispatchError::DeadlinePassed)??;
+        let head = self.head.clone();
+        self.release_connection(server);
+        Ok((head, body))
+    }
+}
+
+/// Collects a body within the limits on buffered bytes.
+async fn collect_body(board: &Blackboard, server: &Server, body: &mut Incoming) -> Result<Bytes, DispatchError> {
+    let mut buffered = BufferedBody::new(&board.buffered);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| DispatchError::Unknown(error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if let Err(limit) = buffered.push(data) {
+            note_oversized(board, server, &limit.to_string());
+            return Err(DispatchError::Unknown(limit.to_string()));
         }
     }
+    Ok(buffered.into_bytes())
+}
+
+/// Counts and logs a response that exceeded a size limit; its connection is closed.
+pub fn note_oversized(board: &Blackboard, server: &Server, reason: &str) {
+    board.metrics.responses_oversized.inc();
+    log_event!(LogEvent::ResponseOversized, "server={} reason={reason:?}", server.entry.name);
+}
+
+/// Applies what the head of a response tells about its server.
+fn note_server(board: &Blackboard, server: &Server, notice: &ServerNotice) {
+    let name = &server.entry.name;
+    if notice.is_leaving && server.leave() {
+        log_event!(LogEvent::ServerLeaving, "server={name} service={} told-by=answer", server.entry.service);
+    }
+    if let Some(pause) = notice.pause {
+        server.pause(pause.min(PAUSE_MAX));
+        board.metrics.server_pauses.inc();
+        let is_cut = pause > PAUSE_MAX;
+        log_event!(LogEvent::ServerPaused, "server={name} pause_ms={} cut={is_cut}", pause.min(PAUSE_MAX).as_millis());
+    }
+    if let Some(text) = &notice.invalid_pause {
+        log_event!(LogEvent::ServerPaused, "server={name} ignored={text:?}");
+    }
 }
 
 /// Sends `request` to `server` and reads the head of the response.
@@ -160,7 +200,11 @@
         Err(_) => return Err(DispatchError::DeadlinePassed),
     };
     let (head, body) = response.into_parts();
-    match protocol.classify_head(request, &head) {
+    let kind = protocol.classify_head(request, &head);
+    if kind != ResponseKind::OtherServer {
+        note_server(board, server, &protocol.notice(&head));
+    }
+    match kind {
         ResponseKind::Answer => {
             let idle_time = protocol.idle_time(&head);
             Ok(ServerResponse { head, body, lease, idle_time })
--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -1,6 +1,7 @@
 //! Splits the byte stream of a server-sent-events response into complete events.
 
 use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error};
 use event_ends::last_end;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -15,31 +16,51 @@
     End,
     /// The stream broke off, with the reason.
     Broken(String),
+    /// The stream exceeded a size limit, with the reason.
+    Oversized(String),
     /// The deadline passed before the next event was complete.
     DeadlinePassed,
 }
 
+/// Maximum length of one event.
+const EVENT_MAX_BYTES: usize = 256 << 10;
+
+/// Error for an event that is longer than `EVENT_MAX_BYTES`.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("an event exceeds {EVENT_MAX_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// Buffers a byte stream and splits it into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Length of the part of `buffer` that contains no end of an event.
+    searched: usize,
     last_id: Option<String>,
     events: u64,
 }
 
 impl EventSplitter {
     /// Appends `bytes` and returns all events that are now complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the incomplete event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
-        let end = last_end(&self.buffer)?;
+        let Some(end) = last_end(&self.buffer, self.searched) else {
+            self.searched = self.buffer.len();
+            return if self.searched > EVENT_MAX_BYTES { Err(EventTooLong) } else { Ok(None) };
+        };
         let events = self.buffer.split_to(end).freeze();
+        self.searched = self.buffer.len();
         for event in split_events(&events) {
             self.events += 1;
             if let Some(id) = event_id(event) {
                 self.last_id = Some(id.to_owned());
             }
         }
-        Some(events)
+        Ok(Some(events))
     }
 
     /// Whether the buffer holds part of an incomplete event.
@@ -50,6 +71,7 @@
     /// Discards an incomplete event; the server that resumes the stream sends it again from its start.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.searched = 0;
     }
 
     /// Id of the last complete event that had one.
@@ -76,8 +98,10 @@
             Err(_) => return StreamRead::DeadlinePassed,
         };
         let Ok(data) = frame.into_data() else { continue };
-        if let Some(events) = splitter.push(&data) {
-            return StreamRead::Events(events);
+        match splitter.push(&data) {
+            Ok(Some(events)) => return StreamRead::Events(events),
+            Ok(None) => {}
+            Err(error) => return StreamRead::Oversized(error.to_string()),
         }
     }
 }
@@ -109,8 +133,11 @@
         bytes.windows(END.len()).position(|pair| pair == END).map(|at| at + END.len())
     }
 
-    /// Offset just after the last complete event.
-    pub(super) fn last_end(bytes: &[u8]) -> Option<usize> {
-        bytes.windows(END.len()).rposition(|pair| pair == END).map(|at| at + END.len())
+    /// Offset just after the last complete event; the first `searched` bytes are known to contain no end.
+    pub(super) fn last_end(bytes: &[u8], searched: usize) -> Option<usize> {
+        // The end may lie across the border between searched and new bytes.
+        let start = searched.saturating_sub(END.len() - 1);
+        let at = bytes[start..].windows(END.len()).rposition(|pair| pair == END)?;
+        Some(start + at + END.len())
     }
 }
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -162,6 +162,17 @@
     Unusable(&'static str),
 }
 
+/// What the head of a response tells about its server, whatever becomes of the request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// Whether the server is leaving and takes no new work.
+    pub is_leaving: bool,
+    /// Time for which the server wants no request from this instance.
+    pub pause: Option<Duration>,
+    /// Value of a pause that could not be read.
+    pub invalid_pause: Option<String>,
+}
+
 /// Protocol spoken with the backend servers.
 pub trait BackendProtocol: Send + Sync + Debug {
     /// Encodes a caller's request for a backend server.
@@ -170,6 +181,9 @@
     /// Classifies the head of a response to `request`.
     fn classify_head(&self, request: &CallerRequest, head: &Parts) -> ResponseKind;
 
+    /// Reads what the head of a response tells about its server.
+    fn notice(&self, head: &Parts) -> ServerNotice;
+
     /// Time for which the server keeps an idle connection open, if the response states it.
     fn idle_time(&self, head: &Parts) -> Option<Duration>;
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod topic_reader;
 
 pub mod blackboard;
+pub mod buffered_body;
 pub mod counted_log;
 pub mod pool;
 pub mod servers;
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -37,6 +37,10 @@
     ServerReplaced,
     /// A backend server was ejected after a failure: it is avoided for a while.
     ServerEjected,
+    /// A backend server asked this instance to pause, or asked so in a way that could not be read.
+    ServerPaused,
+    /// A response of a backend server exceeded a size limit, and its connection was closed.
+    ResponseOversized,
     /// A request was dispatched to a backend server.
     Dispatched,
     /// A dispatch brought no response that could be relayed.
@@ -96,6 +100,8 @@
         Self::ServerLapsed,
         Self::ServerReplaced,
         Self::ServerEjected,
+        Self::ServerPaused,
+        Self::ResponseOversized,
         Self::Dispatched,
         Self::DispatchFailed,
         Self::StreamResumed,
@@ -136,6 +142,8 @@
             Self::ServerLapsed => "CP1203",
             Self::ServerReplaced => "CP1204",
             Self::ServerEjected => "CP1205",
+            Self::ServerPaused => "CP1206",
+            Self::ResponseOversized => "CP1207",
             Self::Dispatched => "CP1300",
             Self::DispatchFailed => "CP1301",
             Self::StreamResumed => "CP1302",
@@ -167,6 +175,7 @@
             | Self::TopicReread
             | Self::ServerLapsed
             | Self::ServerEjected
+            | Self::ResponseOversized
             | Self::DispatchFailed
             | Self::StreamAborted
             | Self::CeilingsUncertain
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -28,6 +28,10 @@
     pub store_latency: Histogram,
     /// Tokens settled.
     pub tokens: Counter,
+    /// Pauses that servers asked for.
+    pub server_pauses: Counter,
+    /// Responses that exceeded a size limit and were cut.
+    pub responses_oversized: Counter,
     /// Time from the arrival of a request to the first byte of its response, in seconds.
     pub first_byte: Histogram,
     /// Time from the arrival of a request to the end of its response, in seconds.
@@ -44,6 +48,8 @@
             store_calls: Family::default(),
             store_latency: Histogram::new(BUCKETS),
             tokens: Counter::default(),
+            server_pauses: Counter::default(),
+            responses_oversized: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
             whole_answer: Histogram::new(BUCKETS),
             registry: Registry::with_prefix("coltsfootpick"),
@@ -63,6 +69,9 @@
         let store = self.store_latency.clone();
         registry.register_with_unit("store_call", "Calls to the store that do not wait", Unit::Seconds, store);
         registry.register("settled_tokens", "Tokens settled", self.tokens.clone());
+        registry.register("server_pauses", "Pauses that servers asked for", self.server_pauses.clone());
+        let oversized = self.responses_oversized.clone();
+        registry.register("oversized_answers", "Answers of servers that were cut at a size limit", oversized);
         let first = self.first_byte.clone();
         registry.register_with_unit("first_byte", "From arrival to the answer's first byte", Unit::Seconds, first);
         let whole = self.whole_answer.clone();
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::SockRef;
@@ -28,6 +28,9 @@
 /// request is in flight.
 const IDLE_TENTHS: u32 = 7;
 
+/// Maximum number of bytes that a connection buffers, and so the maximum length of a response head.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Maximum number of idle connections kept to one server.
 const IDLE_CONNECTIONS_MAX: usize = 8;
 
@@ -121,7 +124,8 @@
         stream.set_nodelay(true).map_err(|error| failed(&error))?;
         let configured = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
         configured.map_err(|error| failed(&error))?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|error| failed(&error))?;
+        let handshake = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|error| failed(&error))?;
         let address = self.address;
         tokio::spawn(async move {
             // Requests get the same error from their sender; this line covers idle connections.
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -14,7 +14,7 @@
 
 use crate::admitted_request::{AdmittedRequest, GenerationProgress};
 use crate::credit_controller::CreditReservation;
-use crate::dispatch::DispatchError;
+use crate::dispatch::{DispatchError, note_oversized};
 use crate::event_stream::{EventSplitter, StreamRead, read_events};
 use crate::log_event;
 use crate::log_events::LogEvent;
@@ -33,7 +33,7 @@
     let mut current = exchange;
     loop {
         let ServerExchange { response, server, guard } = current;
-        let error = match response.read_body(&server, admitted.deadline).await {
+        let error = match response.read_body(&handler.board, &server, admitted.deadline).await {
             Ok((head, body)) => {
                 note_response(&server, &head, guard.elapsed());
                 handler.board.quarantine.lock().record_completion(admitted.fingerprint, handler.board.clock.now());
@@ -125,6 +125,11 @@
             let Some(mut exchange) = self.current.take() else { return StreamStep::End };
             let reason =
                 match read_events(&mut exchange.response.body, &mut self.splitter, self.admitted.deadline).await {
+                    StreamRead::Events(_) if self.splitter.events() > self.admitted.events_max() => {
+                        let reason = format!("more than {} events", self.admitted.events_max());
+                        note_oversized(&self.handler.board, &exchange.server, &reason);
+                        reason
+                    }
                     StreamRead::Events(events) => {
                         self.handler.board.note_traffic(events.len(), CHUNK_OVERHEAD_BYTES);
                         self.admitted.update_usage(GenerationProgress::Open(self.splitter.events()));
@@ -137,6 +142,10 @@
                     }
                     StreamRead::DeadlinePassed => return self.abort(Code::DeadlinePassed, "the deadline passed"),
                     StreamRead::Broken(reason) => reason,
+                    StreamRead::Oversized(reason) => {
+                        note_oversized(&self.handler.board, &exchange.server, &reason);
+                        reason
+                    }
                 };
             let server = Arc::clone(&exchange.server);
             drop(exchange);
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::routes::AccountSpec;
 use coltsfootpick_core::selection::{Candidate, Selection, SelectionRequest, choose};
@@ -40,6 +41,9 @@
 /// Retry delay given while the network link is full; another instance can take the request at once.
 const LINK_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Largest part by which a retry delay is lengthened at random.
+const BACKOFF_SPREAD: f64 = 0.25;
+
 /// Maximum number of servers tried for one request while none of them ran it.
 const SERVERS_TRIED_MAX: usize = 4;
 
@@ -68,6 +72,11 @@
     pub guard: DispatchGuard,
 }
 
+/// Lengthens a retry delay by a random part, so that callers do not all return at the same moment.
+fn spread(delay: Duration) -> Duration {
+    delay.mul_f64(1.0 + rand::random::<f64>() * BACKOFF_SPREAD)
+}
+
 impl RequestHandler {
     /// Serves one request; dropping the future cancels the request at its server.
     pub async fn serve(&self, request: CallerRequest) -> RequestOutcome {
@@ -160,7 +169,11 @@
     pub async fn dispatch(&self, admitted: &mut AdmittedRequest) -> Result<ServerExchange, Refusal> {
         loop {
             let Some((server, selection)) = self.select_server(admitted) else {
-                return Err(self.final_refusal(admitted, "no server takes it"));
+                let refusal = self.final_refusal(admitted, "no server takes it");
+                return Err(match self.shortest_pause(&admitted.service) {
+                    Some(pause) if refusal.retry_after.is_some() => refusal.retry_after(spread(pause)),
+                    _ => refusal,
+                });
             };
             let error = match self.dispatch_once(admitted, &server, &selection, (None, 0)).await {
                 Ok(exchange) => return Ok(exchange),
@@ -245,8 +258,11 @@
     /// Selects a server of the service that takes new work and was not tried yet.
     pub fn select_server(&self, admitted: &AdmittedRequest) -> Option<(Arc<Server>, Selection)> {
         let servers = self.board.servers.of_service(&admitted.service);
-        let is_usable =
-            |server: &&Arc<Server>| !server.is_leaving() && !admitted.tried_servers.contains(&server.entry.name);
+        let is_usable = |server: &&Arc<Server>| {
+            !server.is_leaving()
+                && server.pause_left().is_none()
+                && !admitted.tried_servers.contains(&server.entry.name)
+        };
         let usable: Vec<&Arc<Server>> = servers.iter().filter(is_usable).collect();
         let loads: Vec<_> = usable.iter().map(|server| server.load.lock()).collect();
         let candidates: Vec<Candidate<'_>> = usable
@@ -268,12 +284,21 @@
         Some((Arc::clone(usable[selection.index]), selection))
     }
 
+    /// Shortest rest of a pause, if every server of `service` that stays is paused.
+    fn shortest_pause(&self, service: &ServiceName) -> Option<Duration> {
+        let servers = self.board.servers.of_service(service);
+        let pauses = servers.iter().filter(|server| !server.is_leaving()).map(|server| server.pause_left());
+        pauses.collect::<Option<Vec<Duration>>>()?.into_iter().min()
+    }
+
     /// Applies a failed dispatch to the health of its server.
     pub fn note_dispatch_error(&self, admitted: &AdmittedRequest, server: &Arc<Server>, error: &DispatchError) {
         let (id, name) = (&admitted.request.id, &server.entry.name);
         log_event!(LogEvent::DispatchFailed, "request={id} server={name} error=\"{error}\" run={}", admitted.maybe_run);
         match error {
-            DispatchError::OtherServer => server.leave(),
+            DispatchError::OtherServer => {
+                server.leave();
+            }
             DispatchError::Rejected | DispatchError::DeadlinePassed => {}
             DispatchError::NotSent(_) | DispatchError::Unknown(_) => {
                 if let DispatchError::Unknown(_) = error {
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -1,16 +1,23 @@
 //! Table of the backend servers known to this instance, with their load and connections.
+//!
+//! A run of a server that is leaving stays so, whatever older entries of it are read later.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use coltsfootpick_core::names::{BackendServerName, ServiceName};
 use coltsfootpick_core::selection::{Location, ServerLoad};
 use parking_lot::{Mutex, RwLock};
+use tokio::time::Instant;
 
 use crate::pool::ConnectionPool;
 
+/// Maximum number of leaving runs that are remembered after their removal.
+const LEFT_RUNS_MAX: usize = 4_096;
+
 /// Entry that a backend server registers in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerEntry {
@@ -46,13 +53,15 @@
     /// Connections to the server.
     pub pool: ConnectionPool,
     leaving: AtomicBool,
+    /// When the server takes requests of this instance again.
+    paused_until: Mutex<Option<Instant>>,
 }
 
 impl Server {
     fn new(entry: ServerEntry) -> Arc<Self> {
         let pool = ConnectionPool::new(entry.address);
         let leaving = AtomicBool::new(entry.leaving);
-        Arc::new(Self { entry, load: Mutex::default(), pool, leaving })
+        Arc::new(Self { entry, load: Mutex::default(), pool, leaving, paused_until: Mutex::default() })
     }
 
     /// Whether the server takes no new work.
@@ -60,9 +69,22 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Stops sending new work to the server.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// Stops sending new work to the server, and returns whether that is a change.
+    pub fn leave(&self) -> bool {
+        !self.leaving.swap(true, Ordering::AcqRel)
+    }
+
+    /// Sends no new work to the server for `span`; a pause that ends later stays.
+    pub fn pause(&self, span: Duration) {
+        let until = Instant::now() + span;
+        let mut paused_until = self.paused_until.lock();
+        *paused_until = Some(paused_until.map_or(until, |known| known.max(until)));
+    }
+
+    /// Rest of the server's pause, if it is paused.
+    pub fn pause_left(&self) -> Option<Duration> {
+        let until = (*self.paused_until.lock())?;
+        Some(until.saturating_duration_since(Instant::now())).filter(|left| !left.is_zero())
     }
 }
 
@@ -87,6 +109,8 @@
     services: RwLock<BTreeMap<ServiceName, Arc<RwLock<ServiceServers>>>>,
     /// Service of each server.
     service_names: Mutex<BTreeMap<BackendServerName, ServiceName>>,
+    /// Names and start times of removed runs that were leaving, the oldest first.
+    left_runs: Mutex<VecDeque<(BackendServerName, Option<u64>)>>,
 }
 
 impl ServerTable {
@@ -109,16 +133,34 @@
             Some(_) => (EntryChange::Same, true),
         };
         if !is_kept {
-            servers.insert(entry.name.clone(), Server::new(entry));
+            let has_left = self.has_left(&entry);
+            let server = Server::new(entry);
+            if has_left {
+                server.leave();
+            }
+            servers.insert(server.entry.name.clone(), server);
         }
         change
     }
 
+    /// Whether this run of a server was known to be leaving when it was removed.
+    fn has_left(&self, entry: &ServerEntry) -> bool {
+        let left_runs = self.left_runs.lock();
+        entry.started_at.is_some()
+            && left_runs.iter().any(|(name, started)| *name == entry.name && *started == entry.started_at)
+    }
+
     /// Removes a server; its open requests continue.
     pub fn remove(&self, name: &BackendServerName) -> Option<Arc<Server>> {
         let service = self.service_names.lock().remove(name)?;
         let removed = self.service_servers(&service).write().remove(name)?;
-        removed.leave();
+        if !removed.leave() {
+            let mut left_runs = self.left_runs.lock();
+            left_runs.push_back((name.clone(), removed.entry.started_at));
+            if left_runs.len() > LEFT_RUNS_MAX {
+                left_runs.pop_front();
+            }
+        }
         Some(removed)
     }
 
--- a/crates/serving/tests/streams.rs
+++ b/crates/serving/tests/streams.rs
@@ -109,7 +109,7 @@
         let mut splitter = EventSplitter::default();
         let mut out = Vec::new();
         for piece in text.as_bytes().chunks(size) {
-            out.extend(splitter.push(piece).unwrap_or_default());
+            out.extend_from_slice(&splitter.push(piece).unwrap().unwrap_or_default());
         }
         assert_eq!(
             (out.as_slice(), splitter.events(), splitter.last_id()),
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -7,7 +7,7 @@
 use coltsfootpick_core::routes::{CallerLimits, RouteTable};
 use coltsfootpick_core::selection::Location;
 use coltsfootpick_serving::interfaces::{
-    BackendProtocol, DecodeError, DispatchContext, KeyedRecord, RecordDecoder, ResponseKind,
+    BackendProtocol, DecodeError, DispatchContext, KeyedRecord, RecordDecoder, ResponseKind, ServerNotice,
 };
 use coltsfootpick_serving::request::CallerRequest;
 use coltsfootpick_serving::servers::ServerEntry;
@@ -16,7 +16,7 @@
 use http_body_util::Full;
 
 /// Sends the headers `x-id`, `x-server`, `x-left`, `x-account` and `x-resumes`. The header `x-not-run` of a response
-/// says that the request did not run.
+/// says that the request did not run, `x-leaving` that the server leaves, `x-pause` how many seconds it wants nothing.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlainProtocol;
 
@@ -44,6 +44,13 @@
         }
     }
 
+    fn notice(&self, head: &Parts) -> ServerNotice {
+        let text = head.headers.get("x-pause").and_then(|value| value.to_str().ok());
+        let pause = text.and_then(|text| text.parse().ok()).map(Duration::from_secs_f64);
+        let invalid_pause = text.filter(|_| pause.is_none()).map(str::to_owned);
+        ServerNotice { is_leaving: head.headers.contains_key("x-leaving"), pause, invalid_pause }
+    }
+
     fn idle_time(&self, _head: &Parts) -> Option<Duration> {
         None
     }
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -8,11 +8,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Bytes that an endless action writes at a time.
+const ENDLESS_BLOCK_BYTES: usize = 16 << 10;
+
 /// One action of the server's response to a request.
 #[derive(Clone, Debug)]
 pub enum ServerAction {
     /// Writes text, with `$ID` replaced by the request's id.
     Write(String),
+    /// Writes text again and again until the client closes the connection.
+    WriteForever(String),
     /// Waits for this time, but ends the connection at once when the client closes it.
     Wait(Duration),
     /// Closes the connection.
@@ -125,6 +130,12 @@
                         return;
                     }
                 }
+                ServerAction::WriteForever(text) => {
+                    let block = text.repeat(ENDLESS_BLOCK_BYTES.div_ceil(text.len().max(1)));
+                    while stream.write_all(block.as_bytes()).await.is_ok() {}
+                    recorded.lock().closed += 1;
+                    return;
+                }
                 ServerAction::Wait(span) => {
                     let mut byte = [0; 1];
                     tokio::select! {
