Follow a store that comes back from an older copy

Cause: after a drill offsets go back and are given out again, so a reader below the new end skipped records without noticing, an entry or document of the older copy replaced newer knowledge, a lost raise of a ceiling was not known to others, and a record that was acknowledged and lost kept its holder from planning ever after. Change: a position in a topic carries the era of Store-Era; a read from an earlier era fails as restored, also one that waits when another answer shows the change. Readers take the newest of each key: documents only move forward, entries that the table no longer has wait until they are written again, missing ones have 4 s, instances publish themselves again. Records of holders are numbered and state their era; older ones replace nothing, holders write theirs again in a new epoch of their sequence, those of silent holders are repeated by others after 2 s, and no raise counts before all open holders' records are of the present era.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -14,7 +14,7 @@
 
 use crate::names::ClientAccountName;
 use crate::quarantine::SuspectReport;
-use crate::units::{Instant, Offset, Tokens};
+use crate::units::{Instant, LogPosition, Tokens};
 
 /// Ceiling and use of one holder for one account, as the log keeps them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -65,6 +65,10 @@
 pub struct HolderRecord {
     /// Ceilings by account.
     pub ceilings: BTreeMap<ClientAccountName, AccountCeiling>,
+    /// Number of the record among those of its holder; a record never replaces one of a higher number.
+    pub number: u64,
+    /// Era of the store in which the record was written.
+    pub era: u64,
     /// Version of the document that was in force at the holder.
     pub document: u64,
     /// Whether the holder shut down or was closed and uses nothing more.
@@ -105,7 +109,7 @@
     /// Record that closes a dead holder; its reserve is released when it cannot have been used.
     #[must_use]
     pub fn to_closed(&self, is_reserve_unused: bool) -> Self {
-        let mut closed = Self { closed: true, ..self.clone() };
+        let mut closed = Self { closed: true, number: self.number + 1, ..self.clone() };
         for entry in closed.ceilings.values_mut().filter(|_| is_reserve_unused) {
             entry.reserve = Tokens::ZERO;
         }
@@ -122,7 +126,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CeilingTable {
     holders: BTreeMap<Arc<str>, HolderEntry>,
-    next: Offset,
+    next: LogPosition,
 }
 
 #[derive(Clone, Debug)]
@@ -151,19 +155,43 @@
 }
 
 impl CeilingTable {
-    /// Offset of the first record that was not applied yet.
-    pub const fn next(&self) -> Offset {
+    /// Position of the first record that was not applied yet.
+    pub const fn next(&self) -> LogPosition {
         self.next
     }
 
     /// Marks every record before `next` as applied.
-    pub fn advance(&mut self, next: Offset) {
-        self.next = self.next.max(next);
+    pub fn advance(&mut self, next: LogPosition) {
+        if next.era > self.next.era || next.offset > self.next.offset {
+            self.next = next;
+        }
     }
 
-    /// Replaces the record of `holder` by a newer one.
+    /// Replaces the record of `holder`, unless a newer one is known: after the store came back from an older copy, the
+    /// records that it lost still count.
     pub fn apply(&mut self, holder: &Arc<str>, record: HolderRecord, now: Instant) {
-        self.holders.insert(Arc::clone(holder), HolderEntry { record, read_at: now });
+        let order = |record: &HolderRecord| (record.number, record.closed, record.era);
+        match self.holders.get(holder) {
+            Some(known) if order(&known.record) > order(&record) => {}
+            _ => {
+                self.holders.insert(Arc::clone(holder), HolderEntry { record, read_at: now });
+            }
+        }
+    }
+
+    /// Whether the newest records of all open holders but `own` were written in the present era of the store, so that
+    /// none of their earlier raises can be unknown.
+    pub fn is_complete(&self, own: &str) -> bool {
+        self.unrepeated(own).next().is_none()
+    }
+
+    /// Open holders other than `own` whose newest known record was written in an earlier era, with that record as it
+    /// is to be written again.
+    pub fn unrepeated(&self, own: &str) -> impl Iterator<Item = (Arc<str>, HolderRecord)> {
+        let era = self.next.era;
+        let is_old = move |name: &str, record: &HolderRecord| name != own && !record.closed && record.era < era;
+        let old = self.holders.iter().filter(move |(name, entry)| is_old(name, &entry.record));
+        old.map(move |(name, entry)| (Arc::clone(name), HolderRecord { era, ..entry.record.clone() }))
     }
 
     /// Newest record of `holder`.
--- a/crates/core/src/holder_credit.rs
+++ b/crates/core/src/holder_credit.rs
@@ -22,6 +22,8 @@
 /// Contents of a record other than its ceilings.
 #[derive(Clone, Debug, Default)]
 pub struct RecordMetadata {
+    /// Era of the store as the holder knows it.
+    pub era: u64,
     /// Version of the document in force at the holder.
     pub document: u64,
     /// Wall-clock time of the holder, in milliseconds since 1970.
@@ -66,6 +68,10 @@
     accounts: BTreeMap<ClientAccountName, AccountCredit>,
     last_written: Option<Instant>,
     pending: Option<PendingRecord>,
+    /// Number of the newest planned record, and era in which it was planned.
+    planned: (u64, u64),
+    /// Number of the newest own record that was read.
+    read_number: u64,
 }
 
 /// Planned record that was not read back from the log yet.
@@ -79,14 +85,15 @@
 impl PendingRecord {
     /// Whether `record`, as read from the log, is this one.
     fn matches(&self, record: &HolderRecord) -> bool {
-        self.record.timestamp == record.timestamp && self.record.ceilings == record.ceilings
+        self.record.number == record.number
     }
 }
 
 impl HolderCredit {
     /// Starts a holder without any credit.
     pub const fn new(holder: Arc<str>, policy: CeilingPolicy) -> Self {
-        Self { holder, policy, accounts: BTreeMap::new(), last_written: None, pending: None }
+        let accounts = BTreeMap::new();
+        Self { holder, policy, accounts, last_written: None, pending: None, planned: (0, 0), read_number: 0 }
     }
 
     /// Name of this holder in the log.
@@ -166,8 +173,12 @@
         let was_isolated = self.is_isolated(now);
         let mut is_due = force;
         let witnesses = table.witnesses(&self.holder, now);
-        let RecordMetadata { document, timestamp, suspects } = metadata;
-        let mut record = HolderRecord { document, timestamp, witnesses, suspects, ..HolderRecord::default() };
+        let RecordMetadata { era, document, timestamp, suspects } = metadata;
+        let number = self.planned.0 + 1;
+        // The store may have lost the newest record, so it is written again in each era.
+        is_due |= era > self.planned.1 && self.holds_credit();
+        let mut record =
+            HolderRecord { number, era, document, timestamp, witnesses, suspects, ..HolderRecord::default() };
         for PlannedAccount { name: account, prepaid, role } in accounts {
             let others = table.others(&self.holder, account, now, self.policy.silence);
             let credit = self.accounts.entry(account.clone()).or_default();
@@ -197,6 +208,7 @@
             return None;
         }
         let previous_write = self.last_written.replace(now);
+        self.planned = (number, era);
         self.pending = Some(PendingRecord { record: record.clone(), previous_write });
         self.update_limits();
         Some(record)
@@ -210,7 +222,9 @@
             reserve: Tokens::ZERO,
         };
         let ceilings = self.accounts.iter().map(|(account, credit)| (account.clone(), final_ceiling(credit))).collect();
-        let record = HolderRecord { ceilings, document, closed: true, ..HolderRecord::default() };
+        self.planned.0 += 1;
+        let (number, era) = self.planned;
+        let record = HolderRecord { ceilings, number, era, document, closed: true, ..HolderRecord::default() };
         self.pending = Some(PendingRecord { record: record.clone(), previous_write: self.last_written });
         self.update_limits();
         record
@@ -228,8 +242,9 @@
         document: u64,
         prepaid: impl Fn(&ClientAccountName) -> Option<Tokens>,
     ) -> Vec<ClientAccountName> {
-        // A holder with an older document than the others does not know the prepaid amount.
-        let is_behind = document < table.newest_document();
+        // A holder with an older document than the others does not know the prepaid amount. In a new era of the store,
+        // raises that it lost may be unknown until all others have written their records again.
+        let is_behind = document < table.newest_document() || !table.is_complete(&self.holder);
         let holder = Arc::clone(&self.holder);
         self.apply_limits(record, |account| match prepaid(account) {
             Some(prepaid) if !is_behind => prepaid.saturating_sub(table.allowed_to_others(&holder, account)),
@@ -250,6 +265,10 @@
         fits: impl Fn(&ClientAccountName) -> Tokens,
     ) -> Vec<ClientAccountName> {
         let mut cut = Vec::new();
+        if record.number < self.read_number {
+            return cut;
+        }
+        self.read_number = record.number;
         for (account, credit) in &mut self.accounts {
             let requested = Limit::of(record, account);
             let kept = credit.granted.lower_of(requested);
@@ -297,6 +316,11 @@
         self.pending.is_some()
     }
 
+    /// Planned record that was not read back from the log yet.
+    pub fn pending_record(&self) -> Option<&HolderRecord> {
+        self.pending.as_ref().map(|pending| &pending.record)
+    }
+
     /// Discards the pending record, which was not written and never will be.
     pub fn discard_pending(&mut self) {
         if let Some(pending) = self.pending.take() {
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -43,6 +43,25 @@
     }
 }
 
+/// Position in a topic of a store that may come back from an older copy.
+///
+/// Offsets go back then and are given out again, so an offset means something only within its era. See
+/// `docs/PLATFORM.md#eras`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogPosition {
+    /// Number of times that the store came back from an older copy.
+    pub era: u64,
+    /// Offset within the era.
+    pub offset: Offset,
+}
+
+impl LogPosition {
+    /// Position `offset` of `era`.
+    pub const fn new(era: u64, offset: Offset) -> Self {
+        Self { era, offset }
+    }
+}
+
 /// Position of a record in a log stream.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, From, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -11,7 +11,7 @@
 use coltsfootpick_core::lenders::CreditRole;
 use coltsfootpick_core::loans::{SettlementInbox, SettlementOutbox};
 use coltsfootpick_core::names::ClientAccountName;
-use coltsfootpick_core::units::{Instant, Offset, Tokens};
+use coltsfootpick_core::units::{Instant, LogPosition, Offset, Tokens};
 use proptest::prelude::*;
 
 const PREPAID: u64 = 1_000_000;
@@ -38,7 +38,10 @@
 struct Log {
     records: Vec<KeyedRecord>,
     delayed: Vec<Write>,
-    next_sequences: BTreeMap<Arc<str>, u64>,
+    /// Epoch and next number of each writer.
+    next_sequences: BTreeMap<Arc<str>, (u64, u64)>,
+    /// Number of times that the log came back from an older copy.
+    era: u64,
 }
 
 type KeyedRecord = (Arc<str>, HolderRecord);
@@ -47,20 +50,22 @@
 #[derive(Clone)]
 struct Write {
     writer: Arc<str>,
-    sequence: u64,
+    /// Epoch and number.
+    sequence: (u64, u64),
     records: Vec<KeyedRecord>,
 }
 
 impl Log {
-    fn end(&self) -> Offset {
-        Offset(self.records.len() as u64)
+    fn end(&self) -> LogPosition {
+        LogPosition::new(self.era, Offset(self.records.len() as u64))
     }
 
-    /// Applies a write that is next in its writer's sequence; a repeated write changes nothing.
+    /// Applies a write that is next in its writer's sequence, or the first of a later epoch; a repeated write changes
+    /// nothing.
     fn append(&mut self, write: Write) {
         let next = self.next_sequences.entry(write.writer).or_default();
-        if write.sequence == *next {
-            *next += 1;
+        if write.sequence == *next || write.sequence.0 > next.0 {
+            *next = (write.sequence.0, write.sequence.1 + 1);
             self.records.extend(write.records);
         }
     }
@@ -80,7 +85,8 @@
     started: Instant,
     document: u64,
     is_disconnected: bool,
-    sequence: u64,
+    /// Epoch and number of the next write.
+    sequence: (u64, u64),
     /// Write whose answer was lost.
     unconfirmed: Option<Write>,
     outbox: SettlementOutbox,
@@ -101,6 +107,7 @@
     prepaid: u64,
     version: u64,
     policy: CeilingPolicy,
+    restored_at: Instant,
 }
 
 impl Simulation {
@@ -115,6 +122,7 @@
             prepaid: PREPAID,
             version: 1,
             policy,
+            restored_at: Instant::default(),
         };
         for index in 0..INSTANCES {
             let run = fleet.new_run(index);
@@ -134,7 +142,7 @@
             started: self.now,
             document: 0,
             is_disconnected: false,
-            sequence: 0,
+            sequence: (0, 0),
             unconfirmed: None,
             outbox: SettlementOutbox::default(),
             inbox: SettlementInbox::default(),
@@ -151,7 +159,17 @@
     fn read(&mut self, index: usize, newest_only: bool) {
         let (now, prepaid) = (self.now, Tokens(self.prepaid));
         let Some(run) = self.runs[index].as_mut().filter(|run| !run.is_disconnected) else { return };
-        let from = usize::try_from(run.table.next().0).unwrap();
+        let is_restored = run.table.next().era < self.log.era && run.table.next().offset > Offset(0);
+        if is_restored {
+            run.sequence = (run.sequence.0 + 1, 0);
+            let unread = run.credit.pending_record().cloned();
+            let repeated = run.unconfirmed.take().map(|write| write.records);
+            let records = repeated.or_else(|| unread.map(|record| vec![(Arc::clone(&run.name), record)]));
+            run.unconfirmed =
+                records.map(|records| Write { writer: Arc::clone(&run.name), sequence: run.sequence, records });
+        }
+        let newest_only = newest_only || is_restored;
+        let from = usize::try_from(run.table.next().offset.0).unwrap();
         let records =
             if newest_only { self.log.newest().into_iter().collect() } else { self.log.records[from..].to_vec() };
         for (name, record) in records {
@@ -166,7 +184,10 @@
     }
 
     /// Plans a record from what was read and writes it; `lost` loses the answer, `late` also delays the write.
+    ///
+    /// Records of others that an older copy of the log lost are written again once their holders had time to do so.
     fn write(&mut self, index: usize, lost: bool, late: bool) {
+        let repeats = self.now.since(self.restored_at) > Duration::from_secs(2);
         let (now, timestamp) = (self.now, self.wall_clock(index, self.now));
         let clocks = self.clocks_at(index);
         let (prepaid, policy) = (self.prepaid, self.policy);
@@ -177,7 +198,9 @@
             let dead = run.table.predecessors(&run.name);
             let close = |record: HolderRecord| record.to_closed(record.is_reserve_unused(own, &clocks));
             let mut records: Vec<_> = dead.into_iter().map(|(name, record)| (name, close(record))).collect();
-            let metadata = RecordMetadata { document: run.document, timestamp, ..RecordMetadata::default() };
+            let era = run.table.next().era;
+            let metadata = RecordMetadata { era, document: run.document, timestamp, ..RecordMetadata::default() };
+            records.extend(if repeats { run.table.unrepeated(&run.name).collect() } else { Vec::new() });
             let live = run.table.live_count(&run.name, now, policy.silence) as u64 + 1;
             let role = if run.is_lender { CreditRole::Shared(live) } else { CreditRole::Borrower };
             let next = run.credit.plan_record(&run.table, metadata, planned(&account, prepaid, role), now, true);
@@ -187,7 +210,7 @@
         if lost {
             run.unconfirmed = Some(write.clone());
         } else {
-            run.sequence += 1;
+            run.sequence.1 += 1;
         }
         match lost && late {
             true => self.log.delayed.push(write),
@@ -211,6 +234,33 @@
             .collect()
     }
 
+    /// Replaces the log by a copy that lacks up to `count` records, and lets every connected run write its record
+    /// again.
+    ///
+    /// The copy keeps a record that no other connected run has read, unless its writer is one itself: nobody could
+    /// write it again, which is a loss that `docs/CREDIT.md#eras` states.
+    fn restore_copy(&mut self, count: usize) {
+        let connected = || self.runs.iter().flatten().filter(|run| !run.is_disconnected);
+        let end = self.log.records.len();
+        let is_known = |at: usize| {
+            let writer = &self.log.records[at].0;
+            connected().any(|run| {
+                let position = run.table.next();
+                let has_read = position.era == self.log.era && position.offset.0 > at as u64;
+                run.name == *writer || has_read
+            })
+        };
+        let lost = (1..=count.min(end)).take_while(|back| is_known(end - back)).count();
+        self.log.records.truncate(end - lost);
+        self.log.next_sequences.clear();
+        self.log.delayed.clear();
+        self.log.era += 1;
+        self.restored_at = self.now;
+        for _ in 0..2 {
+            (0..INSTANCES).for_each(|index| self.renew(index));
+        }
+    }
+
     /// Lets an instance read the document in force.
     fn read_document(&mut self, index: usize) {
         if let Some(run) = &mut self.runs[index] {
@@ -353,6 +403,8 @@
     JumpClock(usize, i64),
     Publish,
     ReadDocument(usize),
+    /// Largest number of records that an older copy of the log lacks.
+    RestoreCopy(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -378,6 +430,7 @@
             .prop_map(|(from, to, lost)| Step::SettleLoans(from, to, lost)),
         1 => (instance.clone(), any::<bool>()).prop_map(|(index, is_lender)| Step::ChangeRole(index, is_lender)),
         1 => Just(Step::Publish),
+        1 => (0_usize..30).prop_map(Step::RestoreCopy),
         4 => instance.clone().prop_map(Step::ReadDocument),
         // One clock of four jumps, by up to 4 s, which is more than the isolation timeout.
         1 => (-4_000_i64..4_000).prop_map(|jump| Step::JumpClock(0, jump)),
@@ -412,6 +465,7 @@
                 run.is_lender = is_lender;
             }
         }
+        Step::RestoreCopy(count) => fleet.restore_copy(count),
         Step::Publish => fleet.version += 1,
         Step::ReadDocument(index) => fleet.read_document(index),
         Step::JumpClock(index, jump) => fleet.clock_errors[index] += jump,
--- a/crates/serving/src/counted_log.rs
+++ b/crates/serving/src/counted_log.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::units::Offset;
+use coltsfootpick_core::units::LogPosition;
 use futures_util::future::BoxFuture;
 use tokio::time::Instant;
 
@@ -33,6 +33,7 @@
             Err(StoreError::Unavailable(_)) => "unavailable",
             Err(StoreError::Unknown(_)) => "unknown",
             Err(StoreError::Trimmed) => "trimmed",
+            Err(StoreError::Restored) => "restored",
             Err(StoreError::OutOfSequence(_)) => "out-of-turn",
         };
         Metrics::count(&self.board.metrics.store_calls, outcome);
@@ -49,7 +50,7 @@
         Box::pin(self.count(self.store.newest_page(topic, after), Duration::ZERO))
     }
 
-    fn read(&self, topic: Topic, from: Offset, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>> {
+    fn read(&self, topic: Topic, from: LogPosition, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>> {
         Box::pin(self.count(self.store.read(topic, from, wait), wait))
     }
 
@@ -58,7 +59,7 @@
         topic: Topic,
         sequence: Option<WriteSequence>,
         records: Vec<KeyedRecord>,
-    ) -> BoxFuture<'_, Result<Offset, StoreError>> {
+    ) -> BoxFuture<'_, Result<LogPosition, StoreError>> {
         Box::pin(self.count(self.store.append(topic, sequence, records), Duration::ZERO))
     }
 }
--- a/crates/serving/src/credit_controller.rs
+++ b/crates/serving/src/credit_controller.rs
@@ -77,6 +77,8 @@
     pub(crate) peer_starts: Mutex<BTreeMap<Arc<str>, u64>>,
     pub(crate) pending: Mutex<PendingWrite>,
     pub(crate) read_at: Mutex<Option<Instant>>,
+    /// When it was noticed that the store came back from an older copy.
+    pub(crate) restored_at: Mutex<Option<Instant>>,
     pub(crate) renewal_needed: Notify,
     /// Counts the changes after which a request without headroom should try again.
     pub(crate) credit_changed: watch::Sender<u64>,
@@ -99,6 +101,7 @@
             policy,
             pending: Mutex::default(),
             read_at: Mutex::default(),
+            restored_at: Mutex::default(),
             renewal_needed: Notify::new(),
             credit_changed: watch::Sender::new(0),
             store_reachable: AtomicBool::new(false),
--- a/crates/serving/src/credit_renewal.rs
+++ b/crates/serving/src/credit_renewal.rs
@@ -11,7 +11,7 @@
 use coltsfootpick_core::holder_credit::{HolderCredit, PlannedAccount, RecordMetadata};
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::quarantine::SuspectReport;
-use coltsfootpick_core::units::{Instant as CoreInstant, Offset};
+use coltsfootpick_core::units::{Instant as CoreInstant, LogPosition, Offset};
 use coltsfootpick_wire::ceilings::HolderRecordMessage;
 use prost::Message;
 use tokio::time::Instant;
@@ -44,6 +44,10 @@
 /// Interval at which an instance without credit checks whether it has become a lender.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time after the store came back from an older copy in which holders write their own records again; after it, others
+/// do so for them.
+const REPEAT_DELAY: Duration = Duration::from_secs(2);
+
 /// Interval at which peers are asked for their clocks.
 const CLOCK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -164,6 +168,7 @@
             return RenewalOutcome::Failed;
         }
         let mut records = self.close_earlier_runs();
+        records.extend(self.lost_records());
         records.extend(self.plan(is_first).map(|record| (Arc::clone(self.holder()), record)));
         if records.is_empty() {
             return RenewalOutcome::Done;
@@ -214,7 +219,7 @@
         let write_interval = self.write_interval();
         let suspects = self.suspect_reports();
         let (ceilings, mut credit) = (self.ceilings.lock(), self.credit.lock());
-        let metadata = RecordMetadata { document: version, timestamp, suspects };
+        let metadata = RecordMetadata { era: ceilings.next().era, document: version, timestamp, suspects };
         if is_first {
             return credit.plan_record(&ceilings, metadata, [], now, true);
         }
@@ -230,15 +235,18 @@
     /// Reads and applies the records written since the last read, or all current ones if those were dropped.
     async fn read(&self) -> Result<(), StoreError> {
         let from = self.ceilings.lock().next();
-        let result = match from {
+        let result = match from.offset {
             Offset(0) => Err(StoreError::Trimmed),
-            from => self.store.read(Topic::Credit, from, Duration::ZERO).await.map(|batch| (batch.records, batch.next)),
+            _ => self.store.read(Topic::Credit, from, Duration::ZERO).await.map(|batch| (batch.records, batch.next)),
         };
-        let is_snapshot = matches!(result, Err(StoreError::Trimmed));
+        let is_snapshot = matches!(result, Err(StoreError::Trimmed | StoreError::Restored));
         let (records, next) = match result {
-            Err(StoreError::Trimmed) => read_newest(&*self.store, Topic::Credit).await?,
+            Err(StoreError::Trimmed | StoreError::Restored) => read_newest(&*self.store, Topic::Credit).await?,
             result => result?,
         };
+        if next.era > from.era && from.offset > Offset(0) {
+            self.note_restored(next);
+        }
         let now = self.board.clock.now();
         let (mut ceilings, mut credit) = (self.ceilings.lock(), self.credit.lock());
         for record in records {
@@ -250,6 +258,30 @@
         Ok(())
     }
 
+    /// Prepares the next write for a store that came back from an older copy.
+    ///
+    /// The store has forgotten the sequences of its writers as well, so the write starts a new epoch, which also fences
+    /// earlier writes that are still on their way. A record that was not read back is written again.
+    fn note_restored(&self, next: LogPosition) {
+        log_event!(LogEvent::StoreRestored, "topic=credit era={} end={}", next.era, next.offset);
+        let unread = self.credit.lock().pending_record().cloned();
+        let mut pending = self.pending.lock();
+        (pending.epoch, pending.number) = (pending.epoch + 1, 0);
+        if pending.uncertain.is_none() {
+            pending.uncertain = unread.map(|record| vec![(Arc::clone(self.holder()), record)]);
+        }
+        *self.restored_at.lock() = Some(Instant::now());
+    }
+
+    /// Records of other holders that the store may have lost, and that their holders had time to write again.
+    fn lost_records(&self) -> HolderRecords {
+        let is_due = self.restored_at.lock().is_some_and(|at| at.elapsed() > REPEAT_DELAY);
+        match is_due && self.holds_credit() {
+            true => self.ceilings.lock().unrepeated(self.holder()).collect(),
+            false => HolderRecords::new(),
+        }
+    }
+
     fn apply(
         &self,
         ceilings: &mut CeilingTable,
@@ -355,10 +387,10 @@
 }
 
 /// Formats a written record for the log, with `ACCOUNT=SETTLED/CEILING+RESERVE` for each account.
-fn ceilings_summary(record: &HolderRecord, end: Offset) -> String {
+fn ceilings_summary(record: &HolderRecord, end: LogPosition) -> String {
     let ceilings = record.ceilings.iter().map(|(account, account_ceiling)| {
         let AccountCeiling { settled, ceiling, reserve } = account_ceiling;
         format!(" {account}={settled}/{ceiling}+{reserve}")
     });
-    format!("end={end} document={} closed={}{}", record.document, record.closed, ceilings.collect::<String>())
+    format!("end={} document={} closed={}{}", end.offset, record.document, record.closed, ceilings.collect::<String>())
 }
--- a/crates/serving/src/document_controller.rs
+++ b/crates/serving/src/document_controller.rs
@@ -47,6 +47,8 @@
 
     fn note_recovery(&mut self, _outage: Duration) {}
 
+    fn note_restored(&mut self) {}
+
     fn tick(&mut self) {}
 }
 
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::routes::RouteTable;
-use coltsfootpick_core::units::Offset;
+use coltsfootpick_core::units::LogPosition;
 use derive_more::{Display, Error};
 use futures_util::future::BoxFuture;
 use http::Request;
@@ -47,8 +47,8 @@
     pub records: Vec<KeyedRecord>,
     /// Whether further keys follow the last one.
     pub has_more: bool,
-    /// End offset of the topic when the page was read.
-    pub end: Offset,
+    /// End of the topic when the page was read.
+    pub end: LogPosition,
 }
 
 /// Consecutive records of a topic.
@@ -56,8 +56,8 @@
 pub struct RecordBatch {
     /// Records in the order of their offsets.
     pub records: Vec<KeyedRecord>,
-    /// Offset after the last record.
-    pub next: Offset,
+    /// Position after the last record.
+    pub next: LogPosition,
 }
 
 /// Error of a call to the store.
@@ -72,6 +72,9 @@
     /// The requested offset is no longer kept by the store.
     #[display("records were dropped")]
     Trimmed,
+    /// The store came back from an older copy, in which the requested position means nothing.
+    #[display("the store came back from an older copy")]
+    Restored,
     /// The sequence of a write was not the next one; it took no effect.
     #[display("out of turn: {_0}")]
     #[debug("OutOfTurn({_0:?})")]
@@ -97,16 +100,16 @@
     /// Reads one page of newest records, one per key in key order, starting after the key `after` if given.
     fn newest_page(&self, topic: Topic, after: Option<Arc<str>>) -> BoxFuture<'_, Result<NewestPage, StoreError>>;
 
-    /// Reads records from offset `from` on; if there are none, waits up to `wait` for the first.
-    fn read(&self, topic: Topic, from: Offset, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>>;
+    /// Reads records from position `from` on; if there are none, waits up to `wait` for the first.
+    fn read(&self, topic: Topic, from: LogPosition, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>>;
 
-    /// Appends all records or none, under `sequence` if given, and returns the end offset after them.
+    /// Appends all records or none, under `sequence` if given, and returns the end after them.
     fn append(
         &self,
         topic: Topic,
         sequence: Option<WriteSequence>,
         records: Vec<KeyedRecord>,
-    ) -> BoxFuture<'_, Result<Offset, StoreError>>;
+    ) -> BoxFuture<'_, Result<LogPosition, StoreError>>;
 }
 
 /// Reason why a record could not be decoded.
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -25,6 +25,8 @@
     RecordSkipped,
     /// Records of a topic were dropped before they were read; the newest of each key are read instead.
     TopicReread,
+    /// The store came back from an older copy; the newest record of each key is read again.
+    StoreRestored,
     /// A backend server was added.
     ServerListed,
     /// A backend server takes no new work any more.
@@ -94,6 +96,7 @@
         Self::DocumentApplied,
         Self::RecordSkipped,
         Self::TopicReread,
+        Self::StoreRestored,
         Self::ServerListed,
         Self::ServerLeaving,
         Self::ServerGone,
@@ -136,6 +139,7 @@
             Self::DocumentApplied => "CP1100",
             Self::RecordSkipped => "CP1101",
             Self::TopicReread => "CP1102",
+            Self::StoreRestored => "CP1103",
             Self::ServerListed => "CP1200",
             Self::ServerLeaving => "CP1201",
             Self::ServerGone => "CP1202",
@@ -173,6 +177,7 @@
             | Self::LinesDropped
             | Self::RecordSkipped
             | Self::TopicReread
+            | Self::StoreRestored
             | Self::ServerLapsed
             | Self::ServerEjected
             | Self::ResponseOversized
--- a/crates/serving/src/peer_list.rs
+++ b/crates/serving/src/peer_list.rs
@@ -47,14 +47,23 @@
 pub struct PeerController {
     board: Arc<Blackboard>,
     credit: Arc<CreditController>,
+    store: Arc<dyn KeyedLog>,
+    /// Record of this instance, which is written again when the store has lost it.
+    record: KeyedRecord,
     /// Whether the first records are read, of which one line is written in total.
     is_first: bool,
 }
 
 impl PeerController {
-    /// Creates a controller that updates the fleet list of `board` and the peers of `credit`.
-    pub const fn new(board: Arc<Blackboard>, credit: Arc<CreditController>) -> Self {
-        Self { board, credit, is_first: true }
+    /// Creates a controller that updates the fleet list of `board` and the peers of `credit`, and keeps `record`, the
+    /// one of this instance, in `store`.
+    pub fn new(
+        board: Arc<Blackboard>,
+        credit: Arc<CreditController>,
+        store: Arc<dyn KeyedLog>,
+        record: KeyedRecord,
+    ) -> Self {
+        Self { board, credit, store, record, is_first: true }
     }
 
     fn decode(record: &KeyedRecord) -> Result<(Arc<str>, SocketAddr, FleetMember), String> {
@@ -69,11 +78,15 @@
 impl RecordSink for PeerController {
     fn replace_all(&mut self, records: Vec<KeyedRecord>) {
         let count = records.len();
+        let is_listed = records.contains(&self.record);
         for record in records {
             self.apply(record);
         }
         if std::mem::take(&mut self.is_first) {
             log_event!(LogEvent::PeerListed, "instances={count}");
+        } else if !is_listed {
+            let (store, record) = (Arc::clone(&self.store), self.record.clone());
+            tokio::spawn(publish_record(store, record, self.board.stopped.clone()));
         }
         self.board.mark_fleet_listed();
     }
@@ -105,5 +118,7 @@
 
     fn note_recovery(&mut self, _outage: Duration) {}
 
+    fn note_restored(&mut self) {}
+
     fn tick(&mut self) {}
 }
--- a/crates/serving/src/server_controller.rs
+++ b/crates/serving/src/server_controller.rs
@@ -3,6 +3,9 @@
 //! After a store outage, a missing entry does not mean that its server is gone: the server is kept until it had time to
 //! register again. An outage makes the entries of all servers lapse, so if only a few servers of a service are missing
 //! after it, those are removed at once. See `docs/PLATFORM.md#servers`.
+//!
+//! When the store comes back from an older copy, an entry that the table no longer has may be one of a server that
+//! left. It counts once it is written again, as live servers do within a heartbeat.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -15,12 +18,16 @@
 use crate::interfaces::{KeyedRecord, RecordDecoder};
 use crate::log_event;
 use crate::log_events::LogEvent;
-use crate::servers::EntryChange;
+use crate::servers::{EntryChange, ServerEntry};
 use crate::topic_reader::RecordSink;
 
 /// Grace period after an outage in which live servers register again; the platform promises that they do within 2 s.
 pub const REGISTRATION_GRACE: Duration = Duration::from_secs(2);
 
+/// Grace period after the store came back from an older copy: live servers register again within the usual one, and
+/// their heartbeat may just have been read from the older copy.
+pub const RESTORED_GRACE: Duration = Duration::from_secs(4);
+
 /// Controller that applies the server entries of the store to the server table.
 #[derive(Debug)]
 pub struct ServerController {
@@ -30,22 +37,35 @@
     grace_until: Option<Instant>,
     /// Servers whose entry is missing, and when they are removed.
     lapsed: BTreeMap<BackendServerName, Instant>,
+    /// Whether the next records come from an older copy of the store.
+    is_restored: bool,
+    /// Whether entries may be missing because the store lost them, which affects any number of servers.
+    has_lost_entries: bool,
 }
 
 impl ServerController {
     /// Creates a controller that writes the server table of `board`.
     pub const fn new(board: Arc<Blackboard>, decoder: Arc<dyn RecordDecoder>) -> Self {
-        Self { board, decoder, grace_until: None, lapsed: BTreeMap::new() }
+        Self { board, decoder, grace_until: None, lapsed: BTreeMap::new(), is_restored: false, has_lost_entries: false }
     }
 
-    fn apply_entry(&mut self, record: &KeyedRecord) {
-        let entry = match self.decoder.server(record) {
-            Ok(entry) => entry,
+    fn decode(&self, record: &KeyedRecord) -> Option<ServerEntry> {
+        match self.decoder.server(record) {
+            Ok(entry) => Some(entry),
             Err(error) => {
                 log_event!(LogEvent::RecordSkipped, "topic=servers key={:?} reason={error}", record.key);
-                return;
+                None
             }
-        };
+        }
+    }
+
+    /// Whether an entry of an older copy of the store tells nothing that is known to be outdated.
+    fn is_current(&self, entry: &ServerEntry) -> bool {
+        let known = self.board.servers.of_service(&entry.service);
+        known.iter().any(|known| known.entry.name == entry.name && known.entry.started_at <= entry.started_at)
+    }
+
+    fn apply_entry(&mut self, entry: ServerEntry) {
         self.lapsed.remove(&entry.name);
         let (name, service, address) = (entry.name.clone(), entry.service.clone(), entry.address);
         let event = match self.board.servers.put(entry) {
@@ -98,8 +118,15 @@
     fn replace_all(&mut self, records: Vec<KeyedRecord>) {
         let listed: Vec<BackendServerName> =
             records.iter().map(|record| BackendServerName::from(&*record.key)).collect();
+        let is_restored = std::mem::take(&mut self.is_restored);
         for record in &records {
-            self.apply_entry(record);
+            match self.decode(record) {
+                Some(entry) if is_restored && !self.is_current(&entry) => {
+                    log_event!(LogEvent::ServerLapsed, "server={} unconfirmed=true", entry.name);
+                }
+                Some(entry) => self.apply_entry(entry),
+                None => {}
+            }
         }
         for name in self.board.servers.names() {
             if !listed.contains(&name) && !self.lapsed.contains_key(&name) {
@@ -111,7 +138,11 @@
 
     fn apply(&mut self, record: KeyedRecord) {
         match record.value {
-            Some(_) => self.apply_entry(&record),
+            Some(_) => {
+                if let Some(entry) = self.decode(&record) {
+                    self.apply_entry(entry);
+                }
+            }
             None => self.handle_missing(BackendServerName::from(&*record.key)),
         }
     }
@@ -120,9 +151,18 @@
         self.grace_until = Some(Instant::now() + REGISTRATION_GRACE);
     }
 
+    fn note_restored(&mut self) {
+        self.is_restored = true;
+        self.has_lost_entries = true;
+        self.grace_until = Some(Instant::now() + RESTORED_GRACE);
+    }
+
     fn tick(&mut self) {
-        self.remove_minority();
         let now = Instant::now();
+        self.has_lost_entries &= self.grace_until.is_some_and(|until| now < until);
+        if !self.has_lost_entries {
+            self.remove_minority();
+        }
         let expired: Vec<BackendServerName> =
             self.lapsed.iter().filter(|(_, until)| **until <= now).map(|(name, _)| name.clone()).collect();
         for name in expired {
--- a/crates/serving/src/topic_reader.rs
+++ b/crates/serving/src/topic_reader.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use coltsfootpick_core::units::Offset;
+use coltsfootpick_core::units::LogPosition;
 
 use crate::interfaces::{KeyedLog, KeyedRecord, NewestPage, StoreError, Topic};
 use crate::log_event;
@@ -26,6 +26,9 @@
     /// Called when the store answers again after it did not for the time `outage`.
     fn note_recovery(&mut self, outage: Duration);
 
+    /// Called when the store came back from an older copy; the next call is [`Self::replace_all`] with its records.
+    fn note_restored(&mut self);
+
     /// Called after every read, to do what is due by time alone.
     fn tick(&mut self);
 }
@@ -53,9 +56,9 @@
 /// # Errors
 ///
 /// Fails if one of the calls to the store fails.
-pub async fn read_newest(store: &dyn KeyedLog, topic: Topic) -> Result<(Vec<KeyedRecord>, Offset), StoreError> {
+pub async fn read_newest(store: &dyn KeyedLog, topic: Topic) -> Result<(Vec<KeyedRecord>, LogPosition), StoreError> {
     let mut records = Vec::new();
-    let mut start: Option<Offset> = None;
+    let mut start: Option<LogPosition> = None;
     loop {
         let after = records.last().map(|record: &KeyedRecord| Arc::clone(&record.key));
         let NewestPage { records: page, has_more, end } = store.newest_page(topic, after).await?;
@@ -63,6 +66,9 @@
         records.extend(page);
         // The pages are not a consistent snapshot, so reading continues from the end offset of the first page.
         let start = *start.get_or_insert(end);
+        if end.era != start.era {
+            return Err(StoreError::Restored);
+        }
         if !has_more || is_stuck {
             return Ok((records, start));
         }
@@ -77,7 +83,7 @@
     mut sink: impl RecordSink,
     stop: CancellationToken,
 ) {
-    let mut next: Option<Offset> = None;
+    let mut next: Option<LogPosition> = None;
     let mut failure: Option<(Instant, StoreError)> = None;
     let mut last_success = Instant::now();
     let mut pause = RETRY_MIN;
@@ -109,8 +115,14 @@
                 }
             }
             Err(StoreError::Trimmed) => {
-                log_event!(LogEvent::TopicReread, "topic={topic} from={}", next.unwrap_or_default());
+                log_event!(LogEvent::TopicReread, "topic={topic} from={}", next.unwrap_or_default().offset);
+                next = None;
+            }
+            Err(StoreError::Restored) => {
+                let LogPosition { era, offset } = next.unwrap_or_default();
+                log_event!(LogEvent::StoreRestored, "topic={topic} era={era} from={offset}");
                 next = None;
+                sink.note_restored();
             }
             Err(error) => {
                 if failure.is_none() {
@@ -127,7 +139,7 @@
 
 struct FetchedRecords {
     records: Vec<KeyedRecord>,
-    end: Offset,
+    end: LogPosition,
     is_snapshot: bool,
 }
 
@@ -135,7 +147,7 @@
     store: &dyn KeyedLog,
     topic: Topic,
     policy: PollPolicy,
-    next: Option<Offset>,
+    next: Option<LogPosition>,
 ) -> Result<FetchedRecords, StoreError> {
     let Some(from) = next else {
         let (records, end) = read_newest(store, topic).await?;
--- a/crates/serving/tests/credit.rs
+++ b/crates/serving/tests/credit.rs
@@ -116,8 +116,10 @@
     instance_record(&harness.handler.board.instance, address, credit.holder())
 }
 
-fn add_peer(harness: &RequestHarness, record: KeyedRecord) {
-    PeerController::new(Arc::clone(&harness.handler.board), Arc::clone(&harness.handler.credit)).apply(record);
+fn add_peer(harness: &RequestHarness, store: &KeyedStore, record: KeyedRecord) {
+    let (board, credit) = (Arc::clone(&harness.handler.board), Arc::clone(&harness.handler.credit));
+    let own = KeyedRecord { key: Arc::clone(&board.instance.name), value: None };
+    PeerController::new(board, credit, Arc::new(store.clone()), own).apply(record);
 }
 
 #[tokio::test]
@@ -131,7 +133,7 @@
     store.set_fault(StoreFault::Busy);
     let (alone, _) = use_all(&requester, 2_000).await;
     let record = serve_loans(&lender).await;
-    add_peer(&requester, record);
+    add_peer(&requester, &store, record);
     let (borrowed, _) = use_all(&requester, 2_000).await;
     assert!(borrowed > 0, "{alone} alone, {borrowed} borrowed");
     let (remaining, _) = use_all(&lender, 2_000).await;
--- a/crates/testkit/src/keyed_store.rs
+++ b/crates/testkit/src/keyed_store.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::units::Offset;
+use coltsfootpick_core::units::{LogPosition, Offset};
 use coltsfootpick_serving::interfaces::{
     KeyedLog, KeyedRecord, NewestPage, RecordBatch, StoreError, Topic, WriteSequence,
 };
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Time after which a call to a silent store fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -34,24 +35,37 @@
 #[derive(Debug, Default)]
 struct TopicLog {
     records: Vec<KeyedRecord>,
+    /// Time at which each record was written.
+    written_at: Vec<Instant>,
     /// Index of the first record that was not trimmed.
     first_readable: usize,
 }
 
 type DelayedWrite = (Topic, Option<WriteSequence>, Vec<KeyedRecord>);
 
-/// Sequence numbers of a writer's last accepted write, and the end of the topic after it.
+impl TopicLog {
+    fn push(&mut self, records: Vec<KeyedRecord>) {
+        self.written_at.resize(self.records.len() + records.len(), Instant::now());
+        self.records.extend(records);
+    }
+}
+
+/// Sequence numbers of a writer's accepted write, and the end of the topic after it.
 #[derive(Clone, Copy, Debug)]
 struct LastWrite {
     epoch: u64,
     number: u64,
     end: Offset,
+    written_at: Instant,
 }
 
 #[derive(Debug, Default)]
 struct State {
     topics: BTreeMap<&'static str, TopicLog>,
-    last_writes: BTreeMap<(&'static str, Arc<str>), LastWrite>,
+    /// Accepted writes by topic and writer, the oldest first.
+    writes: BTreeMap<(&'static str, Arc<str>), Vec<LastWrite>>,
+    /// Number of times that the store came back from an older copy.
+    era: u64,
     delayed: Vec<DelayedWrite>,
     fault: StoreFault,
     calls: usize,
@@ -88,7 +102,7 @@
     pub fn put(&self, topic: Topic, key: &str, value: Option<&[u8]>) {
         let value = value.map(bytes::Bytes::copy_from_slice);
         let record = KeyedRecord { key: key.into(), value };
-        self.state.lock().topics.entry(name(topic)).or_default().records.push(record);
+        self.state.lock().topics.entry(name(topic)).or_default().push(vec![record]);
         self.appended.notify_waiters();
     }
 
@@ -99,6 +113,24 @@
         log.first_readable = log.records.len();
     }
 
+    /// Replaces the content by a copy of `age` before now, in which later records and write sequences are unknown.
+    pub fn restore_copy(&self, age: Duration) {
+        let mut state = self.state.lock();
+        let is_kept = |at: &Instant| at.elapsed() >= age;
+        for log in state.topics.values_mut() {
+            let kept = log.written_at.iter().take_while(|at| is_kept(at)).count();
+            log.records.truncate(kept);
+            log.written_at.truncate(kept);
+            log.first_readable = log.first_readable.min(kept);
+        }
+        for writes in state.writes.values_mut() {
+            writes.retain(|write| is_kept(&write.written_at));
+        }
+        state.era += 1;
+        drop(state);
+        self.appended.notify_waiters();
+    }
+
     /// Applies the delayed writes that are still in sequence.
     pub fn apply_delayed(&self) {
         let mut state = self.state.lock();
@@ -131,21 +163,27 @@
     topic: Topic,
     sequence: Option<WriteSequence>,
     records: Vec<KeyedRecord>,
-) -> Result<Offset, StoreError> {
+) -> Result<LogPosition, StoreError> {
     let log = state.topics.entry(name(topic)).or_default();
     let end = Offset((log.records.len() + records.len()) as u64);
     if let Some(WriteSequence { writer, epoch, number }) = sequence {
         let key = (name(topic), writer);
-        match state.last_writes.get(&key) {
-            Some(last) if (last.epoch, last.number) == (epoch, number) => return Ok(last.end),
+        let writes = state.writes.entry(key).or_default();
+        match writes.last() {
+            Some(last) if (last.epoch, last.number) == (epoch, number) => {
+                return Ok(LogPosition::new(state.era, last.end));
+            }
             Some(last) if last.epoch > epoch || (last.epoch == epoch && last.number + 1 != number) => {
                 return Err(StoreError::OutOfSequence(format!("{epoch}/{number} after {last:?}")));
             }
-            _ => state.last_writes.insert(key, LastWrite { epoch, number, end }),
-        };
+            None if number > 0 => {
+                return Err(StoreError::OutOfSequence(format!("{epoch}/{number} of an unknown writer")));
+            }
+            _ => writes.push(LastWrite { epoch, number, end, written_at: Instant::now() }),
+        }
     }
-    log.records.extend(records);
-    Ok(end)
+    log.push(records);
+    Ok(LogPosition::new(state.era, end))
 }
 
 impl KeyedStore {
@@ -173,25 +211,28 @@
             self.begin_call().await?;
             let state = self.state.lock();
             let log = state.topics.get(name(topic)).map(|log| log.records.clone()).unwrap_or_default();
-            let end = Offset(log.len() as u64);
+            let end = LogPosition::new(state.era, Offset(log.len() as u64));
             let records = newest(&log).into_iter().map(|(key, value)| KeyedRecord { key, value: Some(value) });
             Ok(NewestPage { records: records.collect(), has_more: false, end })
         })
     }
 
-    fn read(&self, topic: Topic, from: Offset, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>> {
+    fn read(&self, topic: Topic, from: LogPosition, wait: Duration) -> BoxFuture<'_, Result<RecordBatch, StoreError>> {
         Box::pin(async move {
             self.begin_call().await?;
-            let from = usize::try_from(from.0).unwrap_or(usize::MAX);
+            let (era, from) = (from.era, usize::try_from(from.offset.0).unwrap_or(usize::MAX));
             let read_now = || {
                 let state = self.state.lock();
+                if state.era > era {
+                    return Err(StoreError::Restored);
+                }
                 let log = state.topics.get(name(topic));
                 let (records, first_readable) =
                     log.map_or((Vec::new(), 0), |log| (log.records.clone(), log.first_readable));
                 if from < first_readable {
                     return Err(StoreError::Trimmed);
                 }
-                let next = Offset(records.len() as u64);
+                let next = LogPosition::new(era, Offset(records.len() as u64));
                 Ok(RecordBatch { records: records.into_iter().skip(from).collect(), next })
             };
             let appended = self.appended.notified();
@@ -210,7 +251,7 @@
         topic: Topic,
         sequence: Option<WriteSequence>,
         records: Vec<KeyedRecord>,
-    ) -> BoxFuture<'_, Result<Offset, StoreError>> {
+    ) -> BoxFuture<'_, Result<LogPosition, StoreError>> {
         Box::pin(async move {
             self.begin_call().await?;
             let mut state = self.state.lock();
--- a/crates/wire/src/ceilings.rs
+++ b/crates/wire/src/ceilings.rs
@@ -58,6 +58,12 @@
     /// Requests that the holder suspects of crashing backend servers.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<StoredSuspectMessage>,
+    /// Number of the record among those of its holder.
+    #[prost(uint64, tag = "7")]
+    pub number: u64,
+    /// Era of the store in which the record was written.
+    #[prost(uint64, tag = "8")]
+    pub era: u64,
 }
 
 /// Request suspected of crashing backend servers.
@@ -138,6 +144,8 @@
             timestamp: record.timestamp,
             witnesses: record.witnesses.iter().map(witness).collect(),
             suspects: record.suspects.iter().map(Into::into).collect(),
+            number: record.number,
+            era: record.era,
         }
     }
 }
@@ -159,6 +167,8 @@
             timestamp: message.timestamp,
             witnesses: message.witnesses.into_iter().map(|entry| (entry.instance.into(), entry.timestamp)).collect(),
             suspects: message.suspects.into_iter().filter_map(into_report).collect(),
+            number: message.number,
+            era: message.era,
         }
     }
 }
