Name the witnesses read last, and count loans as committed

Later requests waited 453 ms for a raise that could not come, since loans given were left out of what a holder must cover. Change: a record names the four witnesses read last; a raise counts as held by others with the loans included. Result: a test that keeps the reserve before.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -8,6 +8,7 @@
 //! This module has the records and the table of the newest one of each holder; `holder_credit` decides with them.
 //! See `docs/CREDIT.md`.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,7 +59,7 @@
 const WITNESS_MAX_AGE: Duration = Duration::from_millis(1_500);
 
 /// Maximum number of witnesses named in one record.
-const WITNESSES_MAX: usize = 8;
+const WITNESSES_MAX: usize = 4;
 
 /// Newest record of one holder, which replaces the holder's earlier ones.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -235,7 +236,7 @@
             ceiling.total().saturating_sub(ceiling.settled)
         };
         let mut holders: Vec<_> = others.map(|(name, entry)| (Arc::clone(name), headroom(entry))).collect();
-        holders.sort_by_key(|(name, headroom)| (std::cmp::Reverse(*headroom), Arc::clone(name)));
+        holders.sort_by_key(|(name, headroom)| (Reverse(*headroom), Arc::clone(name)));
         holders
     }
 
@@ -261,11 +262,16 @@
         dead.map(|(name, entry)| (Arc::clone(name), entry.record.clone())).collect()
     }
 
-    /// Timestamps of the other instances' newest records that were read within [`WITNESS_MAX_AGE`].
+    /// Timestamps of the other instances' records that were read last, within [`WITNESS_MAX_AGE`].
+    ///
+    /// The oldest witness bounds the age of the own record, so a few recent ones prove more than many.
     pub(crate) fn witnesses(&self, own: &str, now: Instant) -> BTreeMap<Arc<str>, u64> {
         let is_other = |name: &str| instance_of(name) != instance_of(own);
-        let others = self.holders.iter().filter(|(name, entry)| is_other(name) && entry.is_live(now, WITNESS_MAX_AGE));
-        others.map(|(name, entry)| (Arc::from(instance_of(name)), entry.record.timestamp)).take(WITNESSES_MAX).collect()
+        let recent = self.holders.iter().filter(|(name, entry)| is_other(name) && entry.is_live(now, WITNESS_MAX_AGE));
+        let mut recent: Vec<_> = recent.collect();
+        recent.sort_by_key(|(name, entry)| (Reverse(entry.read_at), Reverse(entry.record.timestamp), *name));
+        let witnesses = recent.into_iter().take(WITNESSES_MAX);
+        witnesses.map(|(name, entry)| (Arc::from(instance_of(name)), entry.record.timestamp)).collect()
     }
 
     /// Newest document version in any holder's record.
--- a/crates/core/src/holder_credit.rs
+++ b/crates/core/src/holder_credit.rs
@@ -148,6 +148,11 @@
         self.accounts.get(account).map(view).unwrap_or_default()
     }
 
+    /// Tokens of `account` that this holder's own ceiling must cover.
+    pub fn committed(&self, account: &ClientAccountName) -> Tokens {
+        self.accounts.get(account).map(AccountCredit::committed).unwrap_or_default()
+    }
+
     /// Whether any request waits for a higher ceiling.
     pub fn has_waiting(&self) -> bool {
         self.accounts.values().any(|credit| !credit.waiting.is_zero())
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -569,6 +569,28 @@
     assert!(written.is_stale("edge-0", &stale));
 }
 
+/// A record names the witnesses that were read last: with older ones, the age of a dead run's record would be
+/// overestimated and its reserve kept.
+#[test]
+fn recent_witnesses() {
+    let mut table = CeilingTable::default();
+    let start = Instant(Duration::from_secs(100));
+    for (index, age) in [1_400_u64, 1_300, 400, 300, 200, 100].into_iter().enumerate() {
+        let name: Arc<str> = format!("edge-{index}/1").into();
+        let read_at = start.after(Duration::from_millis(2_000 - age));
+        table.apply(&name, HolderRecord { timestamp: 12_000 - age, ..HolderRecord::default() }, read_at);
+    }
+    let now = start.after(Duration::from_millis(2_000));
+    let mut credit = HolderCredit::new("own/1".into(), CeilingPolicy::default());
+    let metadata = RecordMetadata { timestamp: 12_000, ..RecordMetadata::default() };
+    let record = credit.plan_record(&table, metadata, [], now, true).unwrap();
+    let witnesses: Vec<&str> = record.witnesses.keys().map(|name| &**name).collect();
+    assert_eq!(witnesses, ["edge-2", "edge-3", "edge-4", "edge-5"]);
+    let names = ["own", "edge-2", "edge-3", "edge-4", "edge-5"];
+    let clocks: Vec<(&str, u64)> = names.iter().map(|name| (*name, 14_200)).collect();
+    assert!(record.is_reserve_unused("own", &self::clocks(&clocks)), "{record:?}");
+}
+
 #[test]
 fn lowered_amount() {
     let mut fleet = running_fleet();
--- a/crates/serving/src/credit_controller.rs
+++ b/crates/serving/src/credit_controller.rs
@@ -189,8 +189,7 @@
     pub(crate) fn is_held_by_others(&self, account: &ClientAccountName, bound: Tokens) -> bool {
         let prepaid = self.prepaid(account);
         let others = self.ceilings.lock().others(self.holder(), account, self.board.clock.now(), self.policy.silence);
-        let (used, reserved, _) = self.credit.lock().usage(account);
-        prepaid.saturating_sub(others.allowed) < used + reserved + bound
+        prepaid.saturating_sub(others.allowed) < self.credit.lock().committed(account) + bound
     }
 
     /// Name of this run as a holder of credit, `INSTANCE/RUN`.
