Let reserves become usable in the course of time

Earlier runs were closed without clocks when the store came back later than 1.8 s after the start. What a dead run can have used follows from the age of its record, so only that part stays in doubt. Clocks are awaited from the first read of an earlier run. After an older copy of the store, records that it lacks are written again at once, closed ones too.

--- a/crates/core/src/account_credit.rs
+++ b/crates/core/src/account_credit.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::ceilings::HolderRecord;
+use crate::ceilings::{AccountCeiling, HolderRecord, usable_reserve};
 use crate::names::ClientAccountName;
 use crate::rate::Rate;
 use crate::units::{Instant, Tokens};
@@ -17,13 +17,16 @@
 pub(crate) struct Limit {
     pub(crate) ceiling: Tokens,
     pub(crate) reserve: Tokens,
+    /// Tokens of the reserve that become usable each second.
+    pub(crate) reserve_rate: Tokens,
 }
 
 impl Limit {
     /// Limit that `record` requests for `account`.
     pub(crate) fn of(record: &HolderRecord, account: &ClientAccountName) -> Self {
         let requested = record.ceilings.get(account).copied().unwrap_or_default();
-        Self { ceiling: requested.ceiling, reserve: requested.reserve }
+        let AccountCeiling { ceiling, reserve, reserve_rate, .. } = requested;
+        Self { ceiling, reserve, reserve_rate }
     }
 
     pub(crate) fn total(self) -> Tokens {
@@ -31,13 +34,17 @@
     }
 
     pub(crate) fn lower_of(self, other: Self) -> Self {
-        Self { ceiling: self.ceiling.min(other.ceiling), reserve: self.reserve.min(other.reserve) }
+        Self {
+            ceiling: self.ceiling.min(other.ceiling),
+            reserve: self.reserve.min(other.reserve),
+            reserve_rate: self.reserve_rate.min(other.reserve_rate),
+        }
     }
 
     /// Limit reduced to at most `most` tokens in total; the reserve is reduced first.
     pub(crate) fn within(self, most: Tokens) -> Self {
         let ceiling = self.ceiling.min(most);
-        Self { ceiling, reserve: self.reserve.min(most.saturating_sub(ceiling)) }
+        Self { ceiling, reserve: self.reserve.min(most.saturating_sub(ceiling)), ..self }
     }
 }
 
@@ -72,8 +79,9 @@
         (self.used + self.reserved + self.lent).saturating_sub(self.borrowed)
     }
 
-    pub(crate) fn headroom(&self, isolated: bool) -> Tokens {
-        let reserve = if isolated { self.limit.reserve } else { Tokens::ZERO };
+    /// Tokens that can be reserved when no record was written for `isolation`.
+    pub(crate) fn headroom(&self, isolation: Duration) -> Tokens {
+        let reserve = usable_reserve(self.limit.reserve, self.limit.reserve_rate, isolation);
         (self.limit.ceiling + reserve + self.borrowed).saturating_sub(self.used + self.reserved + self.lent)
     }
 
--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -24,8 +24,10 @@
     pub ceiling: Tokens,
     /// Tokens that the holder had used when it wrote the record.
     pub settled: Tokens,
-    /// Tokens above the ceiling that the holder may use after it could not write for [`ISOLATION_TIMEOUT`].
+    /// Tokens above the ceiling that the holder may use while it cannot write, in the course of time.
     pub reserve: Tokens,
+    /// Tokens of the reserve that become usable each second after [`RESERVE_DELAY`].
+    pub reserve_rate: Tokens,
 }
 
 impl AccountCeiling {
@@ -34,16 +36,47 @@
         self.ceiling + self.reserve
     }
 
+    /// Tokens of the reserve that may be used when no record was written for `isolation`.
+    pub fn usable_reserve(&self, isolation: Duration) -> Tokens {
+        usable_reserve(self.reserve, self.reserve_rate, isolation)
+    }
+
+    /// Tokens of the reserve that a dead holder may have used when its newest record was at most `age` old, if that is
+    /// known. A holder of an earlier version states no rate and may use its whole reserve after [`ISOLATION_TIMEOUT`].
+    fn reserve_in_doubt(&self, age: Option<Duration>) -> Tokens {
+        match age.map(|age| age + CLOCK_MARGIN) {
+            Some(age) if !self.reserve_rate.is_zero() => self.usable_reserve(age),
+            Some(age) if age < ISOLATION_TIMEOUT => Tokens::ZERO,
+            _ => self.reserve,
+        }
+    }
+
     /// Whether the holder may use more than it had used when it wrote the record.
     pub fn has_headroom(&self) -> bool {
         self.total() > self.settled
     }
 }
 
-/// Time since a holder's last write after which the holder counts as isolated and may use its reserve.
+/// Tokens of a `reserve` that may be used when no record was written for `isolation`: `rate` tokens for each second
+/// after [`RESERVE_DELAY`].
 ///
-/// A killed run wrote every [`WRITE_INTERVAL`] and is replaced within about 1.5 s; the remaining time allows its
-/// successor to read the other instances' clocks.
+/// What a dead holder can have used is therefore known from the age of its newest record, so a reserve may be much
+/// larger than what the usual outage takes of it.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the product is positive, and it saturates"
+)]
+#[expect(clippy::cast_precision_loss, reason = "a rate is far below 2^52 tokens per second")]
+pub(crate) fn usable_reserve(reserve: Tokens, rate: Tokens, isolation: Duration) -> Tokens {
+    let seconds = isolation.saturating_sub(RESERVE_DELAY).as_secs_f64();
+    reserve.min(Tokens((rate.0 as f64 * seconds) as u64))
+}
+
+/// Time without a write after which a holder may begin to use its reserve; records follow each other faster.
+pub const RESERVE_DELAY: Duration = Duration::from_secs(1);
+
+/// Time since a holder's last write after which the holder counts as isolated: it does not know the others' use.
 pub const ISOLATION_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time between two records of a holder.
@@ -94,28 +127,21 @@
         oldest.map(|age| Duration::from_millis(*age))
     }
 
-    /// Whether a dead holder cannot have used its reserve: by `clocks`, its last record was younger than
-    /// [`ISOLATION_TIMEOUT`] when it died.
-    pub fn is_reserve_unused(&self, instance: &str, clocks: &BTreeMap<Arc<str>, u64>) -> bool {
-        self.max_age(instance, clocks).is_some_and(|age| age + CLOCK_MARGIN < ISOLATION_TIMEOUT)
-    }
-
-    /// Whether the record was already so old when the holder's successor started that no clock can prove the reserve
-    /// unused.
-    pub fn is_stale(&self, instance: &str, clocks: &BTreeMap<Arc<str>, u64>) -> bool {
-        let age = clocks.get(instance).map(|now| Duration::from_millis(now.saturating_sub(self.timestamp)));
-        age.is_some_and(|age| age + CLOCK_MARGIN >= ISOLATION_TIMEOUT)
-    }
-
-    /// Record that closes a dead holder; its reserve is released when it cannot have been used.
+    /// Record that closes a dead holder whose newest record was at most `age` old when it died, if that is known; the
+    /// part of each reserve that it cannot have used by then is released.
     #[must_use]
-    pub fn to_closed(&self, is_reserve_unused: bool) -> Self {
+    pub fn to_closed(&self, age: Option<Duration>) -> Self {
         let mut closed = Self { closed: true, number: self.number + 1, ..self.clone() };
-        for entry in closed.ceilings.values_mut().filter(|_| is_reserve_unused) {
-            entry.reserve = Tokens::ZERO;
+        for entry in closed.ceilings.values_mut() {
+            entry.reserve = entry.reserve_in_doubt(age);
         }
         closed
     }
+
+    /// Whether any account has a reserve.
+    pub fn has_reserve(&self) -> bool {
+        self.ceilings.values().any(|entry| !entry.reserve.is_zero())
+    }
 }
 
 /// Name of the instance in a holder name, which has the form `INSTANCE/RUN`.
@@ -134,6 +160,8 @@
 struct HolderEntry {
     record: HolderRecord,
     read_at: Instant,
+    /// Last era of the store in which it was seen to have this record.
+    seen_era: u64,
 }
 
 impl HolderEntry {
@@ -168,6 +196,14 @@
         }
     }
 
+    /// Begins the era of the records that are applied next; in a later one than before, the store may lack records that
+    /// were applied earlier.
+    pub fn enter_era(&mut self, era: u64) {
+        if era > self.next.era {
+            self.next = LogPosition { era, ..LogPosition::default() };
+        }
+    }
+
     /// Replaces the record of `holder`, unless a newer one is known: after the store came back from an older copy, the
     /// records that it lost still count.
     pub fn apply(&mut self, holder: &Arc<str>, record: HolderRecord, now: Instant) {
@@ -175,7 +211,8 @@
         match self.holders.get(holder) {
             Some(known) if order(&known.record) > order(&record) => {}
             _ => {
-                self.holders.insert(Arc::clone(holder), HolderEntry { record, read_at: now });
+                let seen_era = self.next.era;
+                self.holders.insert(Arc::clone(holder), HolderEntry { record, read_at: now, seen_era });
             }
         }
     }
@@ -183,16 +220,21 @@
     /// Whether the newest records of all open holders but `own` were written in the present era of the store, so that
     /// none of their earlier raises can be unknown.
     pub fn is_complete(&self, own: &str) -> bool {
-        self.unrepeated(own).next().is_none()
+        !self.holders.iter().any(|(name, entry)| &**name != own && self.is_outdated(entry))
     }
 
-    /// Open holders other than `own` whose newest known record was written in an earlier era, with that record as it
-    /// is to be written again.
+    /// Whether the newest record of an open holder is of an earlier era.
+    fn is_outdated(&self, entry: &HolderEntry) -> bool {
+        !entry.record.closed && entry.record.era < self.next.era
+    }
+
+    /// Records of holders other than `own`, living or dead, that the store lacks or that its open holders did not write
+    /// again in the present era, as they are to be written again.
     pub fn unrepeated(&self, own: &str) -> impl Iterator<Item = (Arc<str>, HolderRecord)> {
         let era = self.next.era;
-        let is_old = move |name: &str, record: &HolderRecord| name != own && !record.closed && record.era < era;
-        let old = self.holders.iter().filter(move |(name, entry)| is_old(name, &entry.record));
-        old.map(move |(name, entry)| (Arc::clone(name), HolderRecord { era, ..entry.record.clone() }))
+        let others = self.holders.iter().filter(move |(name, _)| &***name != own);
+        let lost = others.filter(move |(_, entry)| entry.seen_era < era || self.is_outdated(entry));
+        lost.map(move |(name, entry)| (Arc::clone(name), HolderRecord { era, ..entry.record.clone() }))
     }
 
     /// Newest record of `holder`.
--- a/crates/core/src/holder_credit.rs
+++ b/crates/core/src/holder_credit.rs
@@ -10,6 +10,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::account_credit::{AccountCredit, Limit};
 use crate::ceilings::{AccountCeiling, CeilingTable, HolderRecord, ISOLATION_TIMEOUT, OtherHolders};
@@ -72,6 +73,8 @@
     planned: (u64, u64),
     /// Number of the newest own record that was read.
     read_number: u64,
+    /// Whether an older own record was written after the newest one.
+    is_covered: bool,
 }
 
 /// Planned record that was not read back from the log yet.
@@ -93,7 +96,16 @@
     /// Starts a holder without any credit.
     pub const fn new(holder: Arc<str>, policy: CeilingPolicy) -> Self {
         let accounts = BTreeMap::new();
-        Self { holder, policy, accounts, last_written: None, pending: None, planned: (0, 0), read_number: 0 }
+        Self {
+            holder,
+            policy,
+            accounts,
+            last_written: None,
+            pending: None,
+            planned: (0, 0),
+            read_number: 0,
+            is_covered: false,
+        }
     }
 
     /// Name of this holder in the log.
@@ -101,9 +113,9 @@
         &self.holder
     }
 
-    /// Whether this holder wrote nothing for [`ISOLATION_TIMEOUT`], so that it may use its reserves.
-    pub fn is_isolated(&self, now: Instant) -> bool {
-        self.last_written.is_some_and(|at| now.since(at) > ISOLATION_TIMEOUT)
+    /// Time since the last record that may have reached the log; it decides how much of a reserve may be used.
+    pub fn isolation(&self, now: Instant) -> Duration {
+        self.last_written.map_or(Duration::ZERO, |at| now.since(at))
     }
 
     /// Sets aside `bound` tokens, the most that a request may use.
@@ -114,12 +126,12 @@
         prepaid: Tokens,
         now: Instant,
     ) -> HeadroomOutcome {
-        let isolated = self.is_isolated(now);
+        let isolation = self.isolation(now);
         let credit = self.accounts.entry(account.clone()).or_default();
         if credit.is_exhausted(bound, prepaid) {
             return HeadroomOutcome::Exhausted;
         }
-        if credit.headroom(isolated) < bound {
+        if credit.headroom(isolation) < bound {
             return HeadroomOutcome::NoHeadroom;
         }
         credit.reserved += bound;
@@ -175,13 +187,13 @@
             return None;
         }
         // The other holders' use during the isolation was not read yet, so a reserve sized now would be too large.
-        let was_isolated = self.is_isolated(now);
+        let was_isolated = self.isolation(now) > ISOLATION_TIMEOUT;
         let mut is_due = force;
         let witnesses = table.witnesses(&self.holder, now);
         let RecordMetadata { era, document, timestamp, suspects } = metadata;
         let number = self.planned.0 + 1;
         // The store may have lost the newest record, so it is written again in each era.
-        is_due |= era > self.planned.1 && self.holds_credit();
+        is_due |= (era > self.planned.1 && self.holds_credit()) || self.is_covered;
         let mut record =
             HolderRecord { number, era, document, timestamp, witnesses, suspects, ..HolderRecord::default() };
         for PlannedAccount { name: account, prepaid, role } in accounts {
@@ -197,15 +209,15 @@
             let ceiling = (credit.committed() + base).min(most);
             let reserve =
                 if was_isolated { Tokens::ZERO } else { total.saturating_sub(base).min(most.saturating_sub(ceiling)) };
-            let headroom = credit.headroom(false).0;
+            let headroom = credit.headroom(Duration::ZERO).0;
             let must_raise = ceiling > credit.limit.ceiling
                 && (headroom < base.0 / PERCENT * RAISE_BELOW_PERCENT || !credit.waiting.is_zero());
             let is_excessive =
                 credit.limit.ceiling > most || headroom > base.0 / PERCENT * LOWER_ABOVE_PERCENT + PERCENT;
             let must_lower = ceiling < credit.limit.ceiling && is_excessive;
             is_due |= must_raise || must_lower || credit.is_cut;
-            let planned = AccountCeiling { ceiling, settled: credit.used, reserve };
-            if planned != AccountCeiling::default() {
+            let planned = AccountCeiling { ceiling, settled: credit.used, reserve, reserve_rate: target.reserve_rate };
+            if !planned.total().is_zero() || !planned.settled.is_zero() {
                 record.ceilings.insert(account.clone(), planned);
             }
         }
@@ -214,6 +226,7 @@
         }
         let previous_write = self.last_written.replace(now);
         self.planned = (number, era);
+        self.is_covered = false;
         self.pending = Some(PendingRecord { record: record.clone(), previous_write });
         self.update_limits();
         Some(record)
@@ -224,7 +237,7 @@
         let final_ceiling = |credit: &AccountCredit| AccountCeiling {
             ceiling: credit.committed(),
             settled: credit.used,
-            reserve: Tokens::ZERO,
+            ..AccountCeiling::default()
         };
         let ceilings = self.accounts.iter().map(|(account, credit)| (account.clone(), final_ceiling(credit))).collect();
         self.planned.0 += 1;
@@ -271,6 +284,8 @@
     ) -> Vec<ClientAccountName> {
         let mut cut = Vec::new();
         if record.number < self.read_number {
+            // Another instance wrote an older record again, so the newest one has to follow it.
+            self.is_covered = true;
             return cut;
         }
         self.read_number = record.number;
--- a/crates/core/src/loans.rs
+++ b/crates/core/src/loans.rs
@@ -132,16 +132,16 @@
         prepaid: Tokens,
         now: Instant,
     ) -> Loan {
-        let isolated = self.is_isolated(now);
+        let isolation = self.isolation(now);
         let credit = self.account_mut(account);
-        let headroom = credit.headroom(isolated);
+        let headroom = credit.headroom(isolation);
         let is_exhausted = credit.is_exhausted(least, prepaid);
         let amount = match headroom < least || is_exhausted {
             true => Tokens::ZERO,
             false => most.min(Tokens(headroom.0 / 2)).max(least),
         };
         credit.lent += amount;
-        Loan { amount, headroom: credit.headroom(isolated), is_exhausted }
+        Loan { amount, headroom: credit.headroom(isolation), is_exhausted }
     }
 
     /// Cancels a loan that the borrower never received.
@@ -213,6 +213,6 @@
 /// Tokens of `loan` that were used, and tokens of it that are not needed.
 fn settleable(credit: &AccountCredit, loan: Tokens, now: Instant) -> (Tokens, Tokens) {
     let used = loan.min(credit.used);
-    let idle = credit.headroom(false).saturating_sub(credit.expected_use(LOAN_WINDOW, now));
+    let idle = credit.headroom(Duration::ZERO).saturating_sub(credit.expected_use(LOAN_WINDOW, now));
     (used, loan.saturating_sub(used).min(idle))
 }
--- a/crates/serving/src/buffered_body.rs
+++ b/crates/serving/src/buffered_body.rs
@@ -77,13 +77,11 @@
         self.counted += more;
         self.length = length;
         while !data.is_empty() {
-            let segment = match self.segments.last_mut() {
-                Some(last) if last.len() < SEGMENT_BYTES => last,
-                _ => {
-                    let capacity = data.len().clamp(SEGMENT_MIN_BYTES, SEGMENT_BYTES);
-                    self.segments.push_mut(BytesMut::with_capacity(capacity))
-                }
-            };
+            if self.segments.last().is_none_or(|last| last.len() == SEGMENT_BYTES) {
+                let capacity = data.len().clamp(SEGMENT_MIN_BYTES, SEGMENT_BYTES);
+                self.segments.push(BytesMut::with_capacity(capacity));
+            }
+            let Some(segment) = self.segments.last_mut() else { break };
             let part = data.split_to(data.len().min(SEGMENT_BYTES - segment.len()));
             segment.extend_from_slice(&part);
         }
--- a/crates/serving/src/credit_controller.rs
+++ b/crates/serving/src/credit_controller.rs
@@ -4,8 +4,8 @@
 //! instance holds credit of the account, else for a loan (`credit_loans`). See `docs/CREDIT.md`.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::CeilingTable;
@@ -73,12 +73,12 @@
     pub(crate) loan_refusals: Mutex<LoanRefusals>,
     pub(crate) settlements: Mutex<SettlementOutbox>,
     pub(crate) started: Instant,
+    /// When an earlier run of this instance was first read from the store.
+    pub(crate) earlier_seen: OnceLock<Instant>,
     /// Unix time in milliseconds at which this run started, by the clock of each peer instance.
     pub(crate) peer_starts: Mutex<BTreeMap<Arc<str>, u64>>,
     pub(crate) pending: Mutex<PendingWrite>,
     pub(crate) read_at: Mutex<Option<Instant>>,
-    /// When it was noticed that the store came back from an older copy.
-    pub(crate) restored_at: Mutex<Option<Instant>>,
     pub(crate) renewal_needed: Notify,
     /// Counts the changes after which a request without headroom should try again.
     pub(crate) credit_changed: watch::Sender<u64>,
@@ -93,6 +93,7 @@
             loan_refusals: Mutex::default(),
             settlements: Mutex::default(),
             started: Instant::now(),
+            earlier_seen: OnceLock::new(),
             peer_starts: Mutex::default(),
             board,
             store,
@@ -101,7 +102,6 @@
             policy,
             pending: Mutex::default(),
             read_at: Mutex::default(),
-            restored_at: Mutex::default(),
             renewal_needed: Notify::new(),
             credit_changed: watch::Sender::new(0),
             store_reachable: AtomicBool::new(false),
--- a/crates/serving/src/credit_recovery.rs
+++ b/crates/serving/src/credit_recovery.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::{HolderRecord, instance_of};
+use coltsfootpick_core::units::Tokens;
 
 use crate::credit_controller::CreditController;
 use crate::credit_renewal::HolderRecords;
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::peer_client::PeerRequest;
+use tokio::time::Instant;
 
 /// Longest wait for the clocks of other instances; after it, an earlier run is closed without taking back its reserve
 /// unless the known clocks prove that the reserve is unused.
@@ -20,7 +22,8 @@
 const CLOCK_PEERS_MAX: usize = 8;
 
 impl CreditController {
-    /// Returns records that close earlier runs of this instance and reclaim the reserves that they cannot have used.
+    /// Returns records that close earlier runs of this instance and reclaim what they cannot have used of their
+    /// reserves.
     ///
     /// The platform starts a run only after the previous one has ended, so earlier runs use no more credit. Runs that
     /// need further peers' clocks as proof are left for the next renewal.
@@ -28,14 +31,26 @@
         let instance = instance_of(self.holder());
         let earlier = self.ceilings.lock().predecessors(self.holder());
         let clocks = self.start_times();
-        let is_timed_out = self.started.elapsed() > CLOCK_TIMEOUT;
+        // The store may answer long after the start, and the addresses of the peers are read from it as well.
+        let is_timed_out = match earlier.is_empty() {
+            true => false,
+            false => self.earlier_seen.get_or_init(Instant::now).elapsed() > CLOCK_TIMEOUT,
+        };
         let mut closed = Vec::with_capacity(earlier.len());
         for (name, record) in earlier {
-            let is_unused = record.is_reserve_unused(instance, &clocks);
-            if is_unused || is_timed_out || record.is_stale(instance, &clocks) {
-                let age = record.max_age(instance, &clocks);
-                log_event!(LogEvent::RunClosed, "run={name} age={age:?} clocks={} unused={is_unused}", clocks.len());
-                closed.push((name, record.to_closed(is_unused)));
+            let age = record.max_age(instance, &clocks);
+            if age.is_some() || is_timed_out || !record.has_reserve() {
+                let last = record.to_closed(age);
+                let reserves =
+                    |record: &HolderRecord| record.ceilings.values().map(|entry| entry.reserve).sum::<Tokens>();
+                log_event!(
+                    LogEvent::RunClosed,
+                    "run={name} age={age:?} clocks={} reserves={} kept={}",
+                    clocks.len(),
+                    reserves(&record),
+                    reserves(&last)
+                );
+                closed.push((name, last));
             } else {
                 self.request_clocks(&record);
             }
--- a/crates/serving/src/credit_renewal.rs
+++ b/crates/serving/src/credit_renewal.rs
@@ -44,10 +44,6 @@
 /// Interval at which an instance without credit checks whether it has become a lender.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time after the store came back from an older copy in which holders write their own records again; after it, others
-/// do so for them.
-const REPEAT_DELAY: Duration = Duration::from_secs(2);
-
 /// Interval at which peers are asked for their clocks.
 const CLOCK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -249,6 +245,7 @@
         }
         let now = self.board.clock.now();
         let (mut ceilings, mut credit) = (self.ceilings.lock(), self.credit.lock());
+        ceilings.enter_era(next.era);
         for record in records {
             self.apply(&mut ceilings, &mut credit, record, is_snapshot, now);
         }
@@ -270,13 +267,11 @@
         if pending.uncertain.is_none() {
             pending.uncertain = unread.map(|record| vec![(Arc::clone(self.holder()), record)]);
         }
-        *self.restored_at.lock() = Some(Instant::now());
     }
 
-    /// Records of other holders that the store may have lost, and that their holders had time to write again.
+    /// Records of other holders that the store may have lost, to be written with the own one before any raise counts.
     fn lost_records(&self) -> HolderRecords {
-        let is_due = self.restored_at.lock().is_some_and(|at| at.elapsed() > REPEAT_DELAY);
-        match is_due && self.holds_credit() {
+        match self.holds_credit() {
             true => self.ceilings.lock().unrepeated(self.holder()).collect(),
             false => HolderRecords::new(),
         }
@@ -389,7 +384,7 @@
 /// Formats a written record for the log, with `ACCOUNT=SETTLED/CEILING+RESERVE` for each account.
 fn ceilings_summary(record: &HolderRecord, end: LogPosition) -> String {
     let ceilings = record.ceilings.iter().map(|(account, account_ceiling)| {
-        let AccountCeiling { settled, ceiling, reserve } = account_ceiling;
+        let AccountCeiling { settled, ceiling, reserve, .. } = account_ceiling;
         format!(" {account}={settled}/{ceiling}+{reserve}")
     });
     format!("end={} document={} closed={}{}", end.offset, record.document, record.closed, ceilings.collect::<String>())
--- a/crates/wire/src/ceilings.rs
+++ b/crates/wire/src/ceilings.rs
@@ -24,6 +24,9 @@
     /// Tokens above the ceiling that the holder may use while it cannot reach the store.
     #[prost(uint64, tag = "4")]
     pub reserve: u64,
+    /// Tokens of the reserve that become usable each second.
+    #[prost(uint64, tag = "5")]
+    pub reserve_rate: u64,
 }
 
 /// Timestamp of another instance's newest record that the holder had read when it wrote its own record.
@@ -134,6 +137,7 @@
             ceiling: ceiling.ceiling.0,
             settled: ceiling.settled.0,
             reserve: ceiling.reserve.0,
+            reserve_rate: ceiling.reserve_rate.0,
         };
         let witness =
             |(instance, at): (&Arc<str>, &u64)| WitnessMessage { instance: instance.to_string(), timestamp: *at };
@@ -157,6 +161,7 @@
                 ceiling: Tokens(entry.ceiling),
                 settled: Tokens(entry.settled),
                 reserve: Tokens(entry.reserve),
+                reserve_rate: Tokens(entry.reserve_rate),
             };
             (ClientAccountName::from(entry.account), ceiling)
         };
