Abort waiting calls before the running ones free their slots

Change: two calls run, four wait; the waiting ones are aborted first and must leave the queue while both slots stay taken, then the running ones. The bound of two requests at the engine stays.

--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -87,20 +87,28 @@
     assert_eq!(fleet.engines[0].0.request_usage().len(), 21, "the refused request ran");
 }
 
+/// Waiting calls are aborted while the running ones hold their slots, so that none of them can take a freed slot in
+/// between; then the running ones are aborted as well.
 #[tokio::test(flavor = "multi_thread")]
 async fn aborted_calls_leave() {
     let fleet = limited_fleet().await;
     let address = fleet.instances[0].caller_address;
-    let calls: Vec<_> = (0..6)
-        .map(|_| tokio::spawn(async move { common::registry().chat(address, "plan-review", "x", 400, false).await }))
-        .collect();
+    let start = |count: usize| -> Vec<_> {
+        let call = || async move { common::registry().chat(address, "plan-review", "x", 400, false).await };
+        (0..count).map(|_| tokio::spawn(call())).collect()
+    };
     let queues = &fleet.instances[0].instance.queues;
-    eventually("four requests wait", || queues.counts(&"plan-review".into()) == (4, 2)).await;
-    for call in calls {
-        call.abort();
-    }
-    eventually("all slots and queues are empty", || queues.counts(&"plan-review".into()) == (0, 0)).await;
-    assert_eq!(fleet.engines[0].0.request_usage().len(), 2);
+    let counts = || queues.counts(&"plan-review".into());
+    let running = start(2);
+    eventually("two requests run", || counts() == (0, 2)).await;
+    eventually("both are at the engine", || fleet.engines[0].0.request_usage().len() == 2).await;
+    let waiting = start(4);
+    eventually("four requests wait", || counts() == (4, 2)).await;
+    waiting.iter().for_each(tokio::task::JoinHandle::abort);
+    eventually("the queue is empty", || counts() == (0, 2)).await;
+    running.iter().for_each(tokio::task::JoinHandle::abort);
+    eventually("all slots are empty", || counts() == (0, 0)).await;
+    assert_eq!(fleet.engines[0].0.request_usage().len(), 2, "an aborted call ran");
 }
 
 #[tokio::test(flavor = "multi_thread")]
