--- a/crates/core/src/loans.rs
+++ b/crates/core/src/loans.rs
@@ -16,6 +16,9 @@
 /// Time of own use that a borrower keeps in loans, so that a busy borrower asks rarely.
 const LOAN_WINDOW: Duration = Duration::from_secs(2);
 
+/// Least tokens that are returned while a part of the loan stays; smaller amounts are not worth a request.
+const RETURN_MIN: Tokens = Tokens(256);
+
 /// Maximum number of accounts settled in one batch.
 const BATCH_MAX: usize = 256;
 
@@ -213,6 +216,11 @@
 /// Tokens of `loan` that were used, and tokens of it that are not needed.
 fn settleable(credit: &AccountCredit, loan: Tokens, now: Instant) -> (Tokens, Tokens) {
     let used = loan.min(credit.used);
-    let idle = credit.headroom(Duration::ZERO).saturating_sub(credit.expected_use(LOAN_WINDOW, now));
-    (used, loan.saturating_sub(used).min(idle))
+    let rest = loan.saturating_sub(used);
+    let kept = Some(credit.expected_use(LOAN_WINDOW, now)).filter(|kept| *kept >= RETURN_MIN).unwrap_or_default();
+    let returned = rest.min(credit.headroom(Duration::ZERO).saturating_sub(kept));
+    match returned >= RETURN_MIN || returned == rest {
+        true => (used, returned),
+        false => (used, Tokens::ZERO),
+    }
 }
