--- a/crates/serving/src/credit_controller.rs
+++ b/crates/serving/src/credit_controller.rs
@@ -167,9 +167,10 @@
             && !self.is_held_by_others(account, bound)
     }
 
-    /// Whether the store answers, as far as known.
+    /// Whether the store answers, as far as known. An instance without credit makes no calls about it, so that its other
+    /// calls decide.
     pub(crate) fn is_store_reachable(&self) -> bool {
-        self.store_reachable.load(Ordering::Relaxed) && self.board.store_answers()
+        self.board.store_answers() && (self.store_reachable.load(Ordering::Relaxed) || !self.holds_credit())
     }
 
     /// Role of this instance in the credit of `account`.
--- a/crates/serving/src/credit_loans.rs
+++ b/crates/serving/src/credit_loans.rs
@@ -23,7 +23,7 @@
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::peer_client::PeerRequest;
-use crate::peer_server::PeerHandler;
+use crate::peer_server::{LoanTerms, PeerHandler};
 
 /// Time that a request waits for one peer's loan before it asks the next peer.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(150);
@@ -263,9 +263,26 @@
     }
 }
 
+impl CreditController {
+    /// Lends what is there now.
+    ///
+    /// Whether an account is used up can be told only by the document of the borrower or a newer one: an older one may
+    /// lack the account, or know a smaller amount.
+    fn lend_now(&self, terms: &LoanTerms) -> Loan {
+        let table = self.board.routes();
+        let is_current = table.as_ref().is_some_and(|table| table.version() >= terms.document);
+        let Some(prepaid) = table.and_then(|table| table.prepaid(&terms.account)) else { return Loan::default() };
+        let now = self.board.clock.now();
+        let loan = self.credit.lock().lend(&terms.account, terms.least, terms.most, prepaid, now);
+        if loan.amount < terms.most {
+            self.renewal_needed.notify_one();
+        }
+        Loan { is_exhausted: loan.is_exhausted && is_current, ..loan }
+    }
+}
+
 impl PeerHandler for CreditController {
-    fn lend(&self, account: &ClientAccountName, least: Tokens, most: Tokens) -> BoxFuture<'_, Loan> {
-        let account = account.clone();
+    fn lend(&self, terms: LoanTerms) -> BoxFuture<'_, Loan> {
         Box::pin(async move {
             let deadline = Instant::now() + LEND_TIMEOUT;
             let mut credit_changed = self.credit_changed.subscribe();
@@ -275,17 +292,14 @@
                 if self.board.draining.is_cancelled() {
                     return Loan::default();
                 }
-                let (prepaid, now) = (self.prepaid(&account), self.board.clock.now());
-                let loan = self.credit.lock().lend(&account, least, most, prepaid, now);
-                if loan.amount < most {
-                    self.renewal_needed.notify_one();
-                }
-                let can_wait =
-                    !loan.is_exhausted && self.is_store_reachable() && !self.is_held_by_others(&account, least);
+                let loan = self.lend_now(&terms);
+                let can_wait = !loan.is_exhausted
+                    && self.is_store_reachable()
+                    && !self.is_held_by_others(&terms.account, terms.least);
                 if !loan.amount.is_zero() || !can_wait {
                     return loan;
                 }
-                waiting.get_or_insert_with(|| WaitingRequest::new(self, &account, least));
+                waiting.get_or_insert_with(|| WaitingRequest::new(self, &terms.account, terms.least));
                 if tokio::time::timeout_at(deadline, credit_changed.changed()).await.is_err() {
                     return loan;
                 }
--- a/crates/serving/src/credit_renewal.rs
+++ b/crates/serving/src/credit_renewal.rs
@@ -117,7 +117,7 @@
     }
 
     /// Whether this instance holds credit of its own, or has to.
-    fn holds_credit(&self) -> bool {
+    pub(crate) fn holds_credit(&self) -> bool {
         if self.board.is_shared_fleet() || self.board.lenders().contains(&self.board.instance.name) {
             return true;
         }
--- a/crates/serving/src/peer_client.rs
+++ b/crates/serving/src/peer_client.rs
@@ -254,6 +254,7 @@
             holder: self.holder.to_string(),
             cancelled,
             suspects: suspects.iter().map(Into::into).collect(),
+            document_version: self.board.routes().map_or(0, |table| table.version()),
             ..LoanRequestMessage::default()
         };
         if let Some((account, least, most)) = &request.loan {
--- a/crates/serving/src/peer_server.rs
+++ b/crates/serving/src/peer_server.rs
@@ -28,10 +28,23 @@
 /// Maximum number of requests of one connection that are answered at the same time.
 const ANSWERS_MAX: usize = 64;
 
+/// Loan that a borrower asks for.
+#[derive(Clone, Debug)]
+pub struct LoanTerms {
+    /// The account.
+    pub account: ClientAccountName,
+    /// Smallest loan that the borrower can use.
+    pub least: Tokens,
+    /// Largest loan that the borrower wants.
+    pub most: Tokens,
+    /// Version of the document in force at the borrower.
+    pub document: u64,
+}
+
 /// Answers requests of other instances.
 pub trait PeerHandler: Send + Sync + std::fmt::Debug {
-    /// Lends up to `most` tokens of `account`; the loan is zero if fewer than `least` become available soon.
-    fn lend(&self, account: &ClientAccountName, least: Tokens, most: Tokens) -> BoxFuture<'_, Loan>;
+    /// Lends as `terms` ask; the loan is zero if fewer than the least tokens become available soon.
+    fn lend(&self, terms: LoanTerms) -> BoxFuture<'_, Loan>;
 
     /// Cancels a granted loan whose answer did not reach the borrower.
     fn cancel_loan(&self, account: &ClientAccountName, amount: Tokens);
@@ -150,9 +163,15 @@
 
 async fn answer(handler: Arc<dyn PeerHandler>, book: Arc<Mutex<LoanBook>>, request: LoanRequestMessage) -> LoanMessage {
     let account = ClientAccountName::from(request.account.as_str());
+    let terms = LoanTerms {
+        account: account.clone(),
+        least: Tokens(request.least),
+        most: Tokens(request.most),
+        document: request.document_version,
+    };
     let loan = match request.account.is_empty() {
         true => Loan::default(),
-        false => handler.lend(&account, Tokens(request.least), Tokens(request.most)).await,
+        false => handler.lend(terms).await,
     };
     if !loan.amount.is_zero() {
         let borrower: Arc<str> = request.holder.as_str().into();
--- a/crates/serving/tests/lenders.rs
+++ b/crates/serving/tests/lenders.rs
@@ -1,7 +1,6 @@
 //! A fleet of twelve instances, in which a few lend the credit: callers at any of them are served, refusals come at once,
 //! and a lender's death, an outage of the store and a used-up account are told apart.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,13 +10,14 @@
 use coltsfootpick_core::quarantine::{Fingerprint, Loss, QuarantineStatus};
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::units::Tokens;
+use coltsfootpick_serving::counted_log::CountedLog;
 use coltsfootpick_serving::credit_controller::{CreditController, CreditReservation};
 use coltsfootpick_serving::interfaces::{KeyedLog, Topic};
 use coltsfootpick_serving::peer_list::{PeerController, instance_record, publish_record};
 use coltsfootpick_serving::peer_server::serve_peers;
 use coltsfootpick_serving::topic_reader::{PollPolicy, follow};
 use coltsfootpick_testkit::keyed_store::{KeyedStore, StoreFault};
-use coltsfootpick_testkit::request_harness::{ACCOUNT, PREPAID, RequestHarness};
+use coltsfootpick_testkit::request_harness::{ACCOUNT, PREPAID, RequestHarness, route_table};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
@@ -42,7 +42,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (board, credit) = (Arc::clone(&harness.handler.board), Arc::clone(&harness.handler.credit));
             let record = instance_record(&board.instance, listener.local_addr().unwrap(), credit.holder());
-            let shared: Arc<dyn KeyedLog> = Arc::new(store.clone());
+            let shared: Arc<dyn KeyedLog> = Arc::new(CountedLog::new(store.clone(), Arc::clone(&board)));
             publish_record(Arc::clone(&shared), record.clone(), harness.stop.clone()).await;
             fleet.listeners.push(tokio::spawn(serve_peers(listener, Arc::<CreditController>::clone(&credit))));
             let sink = PeerController::new(board, credit, Arc::clone(&shared), record);
@@ -242,3 +242,22 @@
         .await;
     assert!(started.elapsed() < Duration::from_secs(5), "it took {:?}", started.elapsed());
 }
+
+/// A lender with an older document than the borrower's may know a smaller amount, and must not call the account used up.
+#[tokio::test]
+async fn older_document() {
+    let fleet = Fleet::start().await;
+    let borrower = &fleet.instances[fleet.borrowers()[0]].handler;
+    borrower.board.install_routes(route_table(2, PREPAID * 4));
+    let reserve = async || {
+        let until = Instant::now() + Duration::from_secs(1);
+        let reserved = borrower.credit.reserve(&ACCOUNT.into(), Tokens(PREPAID * 2), Tokens(PREPAID * 4), until).await;
+        reserved.map(|_| ()).map_err(|refusal| refusal.code)
+    };
+    fleet.store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(reserve().await, Err(Code::CreditUnavailable));
+    fleet.store.set_fault(StoreFault::None);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(reserve().await, Ok(()), "the borrower knows that the account holds enough");
+}
--- a/crates/testkit/src/request_harness.rs
+++ b/crates/testkit/src/request_harness.rs
@@ -9,6 +9,7 @@
 use coltsfootpick_core::selection::Generation;
 use coltsfootpick_core::units::Tokens;
 use coltsfootpick_serving::blackboard::{Blackboard, InstanceSpec, RetryLimit};
+use coltsfootpick_serving::counted_log::CountedLog;
 use coltsfootpick_serving::credit_controller::CreditController;
 use coltsfootpick_serving::request::CallerRequest;
 use coltsfootpick_serving::request_handler::RequestHandler;
@@ -87,7 +88,8 @@
         board.mark_fleet_listed();
         let holder: Arc<str> = format!("{name}/{:x}", rand::random::<u32>()).into();
         let policy = CeilingPolicy::default();
-        let controller = CreditController::new(Arc::clone(&board), Arc::new(store.clone()), holder, policy);
+        let counted = CountedLog::new(store.clone(), Arc::clone(&board));
+        let controller = CreditController::new(Arc::clone(&board), Arc::new(counted), holder, policy);
         let stop = CancellationToken::new();
         tokio::spawn(Arc::clone(&controller).run(stop.clone()));
         tokio::spawn(Arc::clone(&controller).settle_loans(stop.clone()));
--- a/crates/wire/src/loans.rs
+++ b/crates/wire/src/loans.rs
@@ -85,6 +85,9 @@
     /// Requests suspected of crashing backend servers, as far as the receiver may not know them.
     #[prost(message, repeated, tag = "9")]
     pub suspects: Vec<StoredSuspectMessage>,
+    /// Version of the document in force at the borrower.
+    #[prost(uint64, tag = "10")]
+    pub document_version: u64,
 }
 
 /// Response to a loan request.
