--- a/crates/serving/src/credit_controller.rs
+++ b/crates/serving/src/credit_controller.rs
@@ -124,6 +124,7 @@
         let deadline = deadline.min(Instant::now() + RESERVE_TIMEOUT);
         let mut credit_changed = self.credit_changed.subscribe();
         let mut waiting: Option<WaitingRequest<'_>> = None;
+        // Peers are asked once; after that only the store can help.
         let mut may_borrow = true;
         loop {
             credit_changed.mark_unchanged();
