Name request, prompt parts and received events where a server is lost

Change: CP1300 lists the shared parts of the prompt, CP1500 the request, its parts and the events that the caller got. Result: compiled and linted only; no decision changes.

--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -38,6 +38,16 @@
     pub fn bound(&self) -> Tokens {
         self.prompt + self.output
     }
+
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        self.parts.split_last().map_or(&[][..], |(_, shared)| shared).iter().map(|part| part.id)
+    }
+
+    /// Formats the ids of the shared parts for a log line.
+    pub fn part_list(&self) -> String {
+        self.shared_parts().map(|part| format!("{part:016x}")).collect::<Vec<_>>().join(",")
+    }
 }
 
 /// Prompt tokens that an engine prefills per millisecond, before its measured slowness corrects the estimate.
--- a/crates/serving/src/crash_detection.rs
+++ b/crates/serving/src/crash_detection.rs
@@ -10,7 +10,9 @@
 use coltsfootpick_core::names::{BudgetKey, ClientAccountName, EnvironmentName, ServiceName, Stage};
 use coltsfootpick_core::quarantine::{Fingerprint, Loss, QuarantineStatus};
 use coltsfootpick_core::refusal::{Code, Refusal};
+use coltsfootpick_core::selection::Generation;
 
+use crate::admitted_request::AdmittedRequest;
 use crate::blackboard::Blackboard;
 use crate::log_event;
 use crate::log_events::LogEvent;
@@ -49,9 +51,12 @@
     }
 }
 
-/// Connects to `server` after it broke off a request without a response; if that fails, reports the request as suspect.
-pub fn probe_server(board: &Arc<Blackboard>, server: &Arc<Server>, fingerprint: Fingerprint) {
+/// Connects to `server` after it broke off a request; if that fails, reports the request as suspect. `events` is the
+/// number of events that the request had received.
+pub fn probe_server(board: &Arc<Blackboard>, server: &Arc<Server>, admitted: &AdmittedRequest, events: u64) {
     let (board, server) = (Arc::clone(board), Arc::clone(server));
+    let (fingerprint, id) = (admitted.fingerprint, Arc::clone(&admitted.request.id));
+    let parts = admitted.request.generation.as_ref().map(Generation::part_list).unwrap_or_default();
     tokio::spawn(async move {
         match server.pool.connect(usize::MAX).await {
             Ok(lease) => server.pool.release(lease, None),
@@ -61,7 +66,8 @@
                 let name = &server.entry.name;
                 log_event!(
                     LogEvent::Suspected,
-                    "print={fingerprint} server={name} standing={status} error=\"{error}\""
+                    "request={id} print={fingerprint} server={name} standing={status} events={events} parts={parts} \
+                     error=\"{error}\""
                 );
             }
         }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -44,7 +44,7 @@
                 DispatchError::Unknown(format!("status {}", head.status.as_u16()))
             }
             Err(error) => {
-                handler.note_dispatch_error(&admitted, &server, &error);
+                handler.note_dispatch_error(&admitted, &server, &error, 0);
                 let may_continue = error != DispatchError::DeadlinePassed && admitted.may_repeat();
                 if !may_continue || !handler.board.take_retry(&admitted.service) {
                     return open_request.refuse(handler.final_refusal(&admitted, &error.to_string()));
@@ -149,7 +149,8 @@
                 };
             let server = Arc::clone(&exchange.server);
             drop(exchange);
-            self.handler.note_dispatch_error(&self.admitted, &server, &DispatchError::Unknown(reason.clone()));
+            let error = DispatchError::Unknown(reason.clone());
+            self.handler.note_dispatch_error(&self.admitted, &server, &error, self.splitter.events());
             self.admitted.tried_servers.push(server.entry.name.clone());
             if !self.resume().await {
                 return self.abort(Code::BackendFailed, &reason);
@@ -181,7 +182,7 @@
             }
             Ok(_) => false,
             Err(error) => {
-                self.handler.note_dispatch_error(&self.admitted, &server, &error);
+                self.handler.note_dispatch_error(&self.admitted, &server, &error, 0);
                 false
             }
         }
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -11,7 +11,7 @@
 use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::routes::AccountSpec;
-use coltsfootpick_core::selection::{Candidate, Selection, SelectionRequest, choose};
+use coltsfootpick_core::selection::{Candidate, Generation, Selection, SelectionRequest, choose};
 use tokio::time::Instant;
 
 use crate::admitted_request::{AdmittedRequest, GenerationProgress, account_of, rank_of};
@@ -180,7 +180,7 @@
                 Err(error) => error,
             };
             admitted.tried_servers.push(server.entry.name.clone());
-            self.note_dispatch_error(admitted, &server, &error);
+            self.note_dispatch_error(admitted, &server, &error, 0);
             let may_continue = match &error {
                 DispatchError::DeadlinePassed => false,
                 DispatchError::NotSent(_) | DispatchError::OtherServer => {
@@ -216,7 +216,7 @@
         };
         log_event!(
             LogEvent::Dispatched,
-            "request={} route={} service={} server={} left_ms={} sends={} unread={} costs=\"{}\"",
+            "request={} route={} service={} server={} left_ms={} sends={} unread={} parts={} costs=\"{}\"",
             admitted.request.id,
             admitted.route.name,
             admitted.service,
@@ -224,6 +224,7 @@
             remaining.as_millis(),
             admitted.dispatches,
             selection.uncached,
+            admitted.request.generation.as_ref().map(Generation::part_list).unwrap_or_default(),
             selection.costs
         );
         let mut guard = DispatchGuard::start(&self.board, server, selection, admitted.request.generation.as_ref());
@@ -291,8 +292,14 @@
         pauses.collect::<Option<Vec<Duration>>>()?.into_iter().min()
     }
 
-    /// Applies a failed dispatch to the health of its server.
-    pub fn note_dispatch_error(&self, admitted: &AdmittedRequest, server: &Arc<Server>, error: &DispatchError) {
+    /// Applies a failed dispatch, of which the caller received `events` events, to the health of its server.
+    pub fn note_dispatch_error(
+        &self,
+        admitted: &AdmittedRequest,
+        server: &Arc<Server>,
+        error: &DispatchError,
+        events: u64,
+    ) {
         let (id, name) = (&admitted.request.id, &server.entry.name);
         log_event!(LogEvent::DispatchFailed, "request={id} server={name} error=\"{error}\" run={}", admitted.maybe_run);
         match error {
@@ -302,7 +309,7 @@
             DispatchError::Rejected | DispatchError::DeadlinePassed => {}
             DispatchError::NotSent(_) | DispatchError::Unknown(_) => {
                 if let DispatchError::Unknown(_) = error {
-                    crash_detection::probe_server(&self.board, server, admitted.fingerprint);
+                    crash_detection::probe_server(&self.board, server, admitted, events);
                 }
                 let now = self.board.clock.now();
                 let until = server.load.lock().note_failure(now);
