--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -228,7 +228,7 @@
         harnesses.push(RequestHarness::start(name, &store, &[]));
     }
     for (harness, server) in harnesses.iter().zip(["a", "b"]) {
-        let crashing = ScriptedServer::start_crashing().await;
+        let crashing = ScriptedServer::start_crashing("").await;
         harness
             .handler
             .board
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -58,15 +58,20 @@
         Self { address, recorded }
     }
 
-    /// Starts a server that accepts one connection and closes it after the request, as a crashing server does.
-    pub async fn start_crashing() -> Self {
+    /// Starts a server that accepts one connection and crashes at the request: it accepts no further connection, writes
+    /// `last_words` and closes this one.
+    pub async fn start_crashing(last_words: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
         let address = listener.local_addr().expect("a bound socket has an address");
         let recorded = Arc::<Mutex<Recording>>::default();
+        let (last_words, recording) = (last_words.to_owned(), Arc::clone(&recorded));
         tokio::spawn(async move {
-            if let Ok((mut stream, _)) = listener.accept().await {
-                drop(listener);
-                let _ = read_request(&mut stream).await;
+            let Ok((mut stream, _)) = listener.accept().await else { return };
+            drop(listener);
+            if let Some(request) = read_request(&mut stream).await {
+                let id = header(&request, "x-id").unwrap_or_default();
+                recording.lock().requests.push(request);
+                let _ = stream.write_all(last_words.replace("$ID", &id).as_bytes()).await;
             }
         });
         Self { address, recorded }
