Convict prompt parts that crash servers, over the whole fleet

A resumable stream without an event was sent on at once and ended a second server. Change: crashes count by part (core::part_blame); a complete answer clears a part, so those of sound requests that ran beside stay clear; instances share the evidence in a topic of the store. An unanswered request follows its crash to no other server unless all its parts were answered before; a suspected part runs one request at a time.

--- a/crates/core/src/lenders.rs
+++ b/crates/core/src/lenders.rs
@@ -77,6 +77,14 @@
         self.len() <= SHARED_FLEET_MAX
     }
 
+    /// Number of instances before `instance` in an order that is the same at every instance and differs by `key`.
+    pub fn turn(&self, instance: &str, key: u64) -> u32 {
+        let weight = |name: &str| xxh3_64(&[&key.to_le_bytes(), name.as_bytes()].concat());
+        let own = weight(instance);
+        let earlier = self.members.keys().filter(|name| weight(name) < own).count();
+        u32::try_from(earlier).unwrap_or(u32::MAX)
+    }
+
     /// Lenders of a large fleet.
     pub fn lenders(&self) -> &[Arc<str>] {
         &self.lenders
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod models;
 pub mod names;
 pub mod ownership;
+pub mod part_blame;
 pub mod placement;
 pub mod prefixes;
 pub mod quarantine;
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -90,4 +90,10 @@
     pub const fn after(self, span: Duration) -> Self {
         Self(self.0.saturating_add(span))
     }
+
+    /// Time that is `span` before this one, at the earliest the origin.
+    #[must_use]
+    pub const fn before(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span))
+    }
 }
--- a/crates/serving/src/admitted_request.rs
+++ b/crates/serving/src/admitted_request.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use coltsfootpick_core::names::{BackendServerName, ServiceName};
+use coltsfootpick_core::names::{BackendServerName, ClientAccountName, ServiceName};
 use coltsfootpick_core::quarantine::Fingerprint;
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::routes::{AccountSpec, RepeatPolicy, Route, RouteTable};
+use coltsfootpick_core::selection::Generation;
 use coltsfootpick_core::units::Tokens;
 use tokio::time::Instant;
 
+use crate::crash_detection::PartTrial;
 use crate::credit_controller::CreditReservation;
 use crate::request::CallerRequest;
 
@@ -52,6 +54,8 @@
     pub reservation: Option<CreditReservation>,
     /// Servers already tried, whether or not the request reached them.
     pub tried_servers: Vec<BackendServerName>,
+    /// Marks the suspected parts of the prompt as on trial, until the request is answered.
+    pub trial: Option<PartTrial>,
     /// Number of dispatches that reached a server.
     pub dispatches: u32,
     /// Whether the request may have run on a server.
@@ -59,6 +63,16 @@
 }
 
 impl AdmittedRequest {
+    /// Name of the client account, or an empty one if the route needs none.
+    pub fn account_name(&self) -> ClientAccountName {
+        name_of(self.account.as_deref())
+    }
+
+    /// Parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        self.request.generation.iter().flat_map(Generation::shared_parts).collect()
+    }
+
     /// Priority rank of the request, 0 first.
     pub fn rank(&self) -> u8 {
         rank_of(&self.route, self.account.as_deref())
@@ -89,6 +103,11 @@
     }
 }
 
+/// Name of a client account, or an empty one for a route that needs none.
+pub fn name_of(account: Option<&AccountSpec>) -> ClientAccountName {
+    account.map_or_else(|| ClientAccountName::from(""), |account| account.name.clone())
+}
+
 /// Priority rank of a request, 0 first; the client account's rank takes precedence over the route's.
 pub fn rank_of(route: &Route, account: Option<&AccountSpec>) -> u8 {
     account.and_then(|account| account.rank).unwrap_or(route.rank)
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -7,13 +7,14 @@
 use coltsfootpick_core::lenders::{CreditRole, Fleet, FleetMember};
 use coltsfootpick_core::link_load::{LinkChange, LinkLoad};
 use coltsfootpick_core::names::{ClientAccountName, ServiceName};
+use coltsfootpick_core::part_blame::{ClockReading, PartBlame};
 use coltsfootpick_core::quarantine::Quarantine;
 use coltsfootpick_core::retry::{RetryBudget, RetryRatio};
 use coltsfootpick_core::routes::RouteTable;
 use coltsfootpick_core::selection::Location;
 use coltsfootpick_core::units::Instant;
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::buffered_body::BufferedTotal;
@@ -43,6 +44,11 @@
         Instant(self.origin.elapsed() + CLOCK_START)
     }
 
+    /// Reads both clocks.
+    pub fn reading(&self) -> ClockReading {
+        ClockReading { now: self.now(), unix: self.unix_millis() }
+    }
+
     /// Wall-clock time in milliseconds since the Unix epoch; it may jump.
     pub fn unix_millis(&self) -> u64 {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -93,6 +99,10 @@
     pub link: Mutex<LinkLoad>,
     /// Requests that are suspected of crashing servers.
     pub quarantine: Mutex<Quarantine>,
+    /// Evidence about prompt parts that crash servers.
+    pub part_blame: Mutex<PartBlame>,
+    /// Notified when there is evidence to report.
+    pub part_news: Notify,
     /// Bytes of response bodies that are being buffered.
     pub buffered: BufferedTotal,
     /// Counters and histograms.
@@ -125,6 +135,8 @@
             clock: InstanceClock::default(),
             servers: ServerTable::default(),
             quarantine: Mutex::default(),
+            part_blame: Mutex::default(),
+            part_news: Notify::new(),
             buffered: BufferedTotal::default(),
             metrics: Metrics::default(),
             draining: CancellationToken::new(),
@@ -250,6 +262,11 @@
         self.fleet.read().lenders().to_vec()
     }
 
+    /// Number of instances that may try the formerly convicted `part` before this one.
+    pub fn trial_turn(&self, part: u64) -> u32 {
+        self.fleet.read().turn(&self.instance.name, part)
+    }
+
     /// Records whether the last call to the store was answered.
     pub fn note_store_answer(&self, is_answered: bool) {
         self.store_answers.store(is_answered, Ordering::Relaxed);
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -16,7 +16,7 @@
 use crate::interfaces::{BackendProtocol, DispatchContext, ResponseKind, ServerNotice};
 use crate::log_event;
 use crate::log_events::LogEvent;
-use crate::pool::{ConnectError, Lease};
+use crate::pool::Lease;
 use crate::request::CallerRequest;
 use crate::servers::Server;
 
@@ -222,9 +222,7 @@
     let limit = (fleet_limit / board.fleet_size()).max(1);
     match tokio::time::timeout_at(deadline, server.pool.connect(limit)).await {
         Ok(Ok(lease)) => Ok(lease),
-        Ok(Err(error @ (ConnectError::Full(_) | ConnectError::Failed(_)))) => {
-            Err(DispatchError::NotSent(error.to_string()))
-        }
+        Ok(Err(error)) => Err(DispatchError::NotSent(error.to_string())),
         Err(_) => Err(DispatchError::NotSent("no time left to connect".to_owned())),
     }
 }
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -29,6 +29,8 @@
     Credit,
     /// Peer addresses of the instances.
     Instances,
+    /// Evidence of the instances about prompt parts that crash backend servers.
+    Parts,
 }
 
 /// Record of a topic: a key with a value, or the deletion of a key.
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -75,6 +75,10 @@
     WriteOutOfSequence,
     /// A request is suspected of crashing backend servers.
     Suspected,
+    /// A prompt part is blamed for the crash of a backend server.
+    PartBlamed,
+    /// A blamed prompt part was answered completely.
+    PartCleared,
     /// The address of another instance was read.
     PeerListed,
     /// A connection to another instance was opened.
@@ -121,6 +125,8 @@
         Self::CeilingRaiseReduced,
         Self::WriteOutOfSequence,
         Self::Suspected,
+        Self::PartBlamed,
+        Self::PartCleared,
         Self::PeerListed,
         Self::PeerConnected,
         Self::PeerLost,
@@ -164,6 +170,8 @@
             Self::CeilingRaiseReduced => "CP1406",
             Self::WriteOutOfSequence => "CP1407",
             Self::Suspected => "CP1500",
+            Self::PartBlamed => "CP1501",
+            Self::PartCleared => "CP1502",
             Self::PeerListed => "CP1600",
             Self::PeerConnected => "CP1601",
             Self::PeerLost => "CP1602",
@@ -186,6 +194,7 @@
             | Self::CeilingsUncertain
             | Self::WriteOutOfSequence
             | Self::Suspected
+            | Self::PartBlamed
             | Self::PeerLost => Level::Warn,
             _ => Level::Info,
         }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -30,6 +30,8 @@
     pub tokens: Counter,
     /// Pauses that servers asked for.
     pub server_pauses: Counter,
+    /// Prompt parts that are convicted of crashing servers.
+    pub convicted_parts: Gauge,
     /// Responses that exceeded a size limit and were cut.
     pub responses_oversized: Counter,
     /// Time from the arrival of a request to the first byte of its response, in seconds.
@@ -49,6 +51,7 @@
             store_latency: Histogram::new(BUCKETS),
             tokens: Counter::default(),
             server_pauses: Counter::default(),
+            convicted_parts: Gauge::default(),
             responses_oversized: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
             whole_answer: Histogram::new(BUCKETS),
@@ -70,6 +73,8 @@
         registry.register_with_unit("store_call", "Calls to the store that do not wait", Unit::Seconds, store);
         registry.register("settled_tokens", "Tokens settled", self.tokens.clone());
         registry.register("server_pauses", "Pauses that servers asked for", self.server_pauses.clone());
+        let parts = self.convicted_parts.clone();
+        registry.register("convicted_parts", "Prompt parts that are convicted of crashing servers", parts);
         let oversized = self.responses_oversized.clone();
         registry.register("oversized_answers", "Answers of servers that were cut at a size limit", oversized);
         let first = self.first_byte.clone();
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -1,5 +1,6 @@
 //! Connection pool of one server: HTTP/1 connections with one request at a time, reused once a response is complete.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -40,6 +41,9 @@
     /// All connections that this instance may open are in use.
     #[display("all {_0} connections to the server are in use")]
     Full(#[error(not(source))] usize),
+    /// Nothing listens at the address.
+    #[display("no connection: {_0}")]
+    Refused(#[error(not(source))] String),
     /// The connection could not be opened.
     #[display("no connection: {_0}")]
     Failed(#[error(not(source))] String),
@@ -120,7 +124,10 @@
         let guard = OpenGuard::new(&self.open_count);
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
         let failed = |error: &dyn std::fmt::Display| ConnectError::Failed(error.to_string());
-        let stream = connecting.await.map_err(|error| failed(&error))?.map_err(|error| failed(&error))?;
+        let stream = connecting.await.map_err(|error| failed(&error))?.map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => ConnectError::Refused(error.to_string()),
+            _ => failed(&error),
+        })?;
         stream.set_nodelay(true).map_err(|error| failed(&error))?;
         let configured = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
         configured.map_err(|error| failed(&error))?;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -13,6 +13,7 @@
 use http::response::Parts;
 
 use crate::admitted_request::{AdmittedRequest, GenerationProgress};
+use crate::crash_detection;
 use crate::credit_controller::CreditReservation;
 use crate::dispatch::{DispatchError, note_oversized};
 use crate::event_stream::{EventSplitter, StreamRead, read_events};
@@ -20,7 +21,7 @@
 use crate::log_events::LogEvent;
 use crate::open_request::OpenRequest;
 use crate::outcome::{EventStream, RequestOutcome, ResponseBody, StreamAborted};
-use crate::request_handler::{RequestHandler, ServerExchange};
+use crate::request_handler::{RequestHandler, ServerExchange, has_crashed};
 use crate::servers::Server;
 
 /// Buffers the whole response before it is relayed, so that the request can still be repeated if the response breaks off.
@@ -37,6 +38,9 @@
             Ok((head, body)) => {
                 note_response(&server, &head, guard.elapsed());
                 handler.board.quarantine.lock().record_completion(admitted.fingerprint, handler.board.clock.now());
+                if head.status.is_success() {
+                    crash_detection::note_end(&handler.board, &admitted, &server, &head, 0);
+                }
                 let may_continue = head.status.is_server_error() && admitted.may_repeat();
                 if !may_continue || !handler.board.take_retry(&admitted.service) {
                     return open_request.relay_response(&server, head, ResponseBody::Buffered(body));
@@ -44,8 +48,9 @@
                 DispatchError::Unknown(format!("status {}", head.status.as_u16()))
             }
             Err(error) => {
-                handler.note_dispatch_error(&admitted, &server, &error, 0);
-                let may_continue = error != DispatchError::DeadlinePassed && admitted.may_repeat();
+                let probe = handler.note_dispatch_error(&admitted, &server, &error, 0);
+                let may_repeat = error != DispatchError::DeadlinePassed && admitted.may_repeat();
+                let may_continue = may_repeat && !has_crashed(probe).await;
                 if !may_continue || !handler.board.take_retry(&admitted.service) {
                     return open_request.refuse(handler.final_refusal(&admitted, &error.to_string()));
                 }
@@ -133,6 +138,7 @@
                     StreamRead::Events(events) => {
                         self.handler.board.note_traffic(events.len(), CHUNK_OVERHEAD_BYTES);
                         self.admitted.update_usage(GenerationProgress::Open(self.splitter.events()));
+                        self.admitted.trial = None;
                         self.current = Some(exchange);
                         return StreamStep::Events(events);
                     }
@@ -150,9 +156,9 @@
             let server = Arc::clone(&exchange.server);
             drop(exchange);
             let error = DispatchError::Unknown(reason.clone());
-            self.handler.note_dispatch_error(&self.admitted, &server, &error, self.splitter.events());
+            let probe = self.handler.note_dispatch_error(&self.admitted, &server, &error, self.splitter.events());
             self.admitted.tried_servers.push(server.entry.name.clone());
-            if !self.resume().await {
+            if has_crashed(probe).await || !self.resume().await {
                 return self.abort(Code::BackendFailed, &reason);
             }
         }
@@ -194,6 +200,7 @@
         note_response(&server, &response.head, guard.elapsed());
         let board = &self.handler.board;
         board.quarantine.lock().record_completion(self.admitted.fingerprint, board.clock.now());
+        crash_detection::note_end(board, &self.admitted, &server, &response.head, self.splitter.events());
         let used = self.admitted.reservation.as_ref().map_or(Tokens::ZERO, CreditReservation::used);
         log_event!(
             LogEvent::Answered,
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -12,9 +12,10 @@
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::routes::AccountSpec;
 use coltsfootpick_core::selection::{Candidate, Generation, Selection, SelectionRequest, choose};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::admitted_request::{AdmittedRequest, GenerationProgress, account_of, rank_of};
+use crate::admitted_request::{AdmittedRequest, GenerationProgress, account_of, name_of, rank_of};
 use crate::blackboard::Blackboard;
 use crate::crash_detection;
 use crate::credit_controller::{CreditController, CreditReservation};
@@ -77,6 +78,21 @@
     delay.mul_f64(1.0 + rand::random::<f64>() * BACKOFF_SPREAD)
 }
 
+/// Whether a server on which an unanswered request ran has crashed; the request may be the cause.
+pub async fn has_crashed(probe: Option<JoinHandle<bool>>) -> bool {
+    match probe {
+        Some(probe) => probe.await.unwrap_or(false),
+        None => false,
+    }
+}
+
+/// Keeps the servers at which fewest requests of this instance are open, so that a crash costs few of them.
+fn keep_least_used(servers: &mut Vec<&Arc<Server>>) {
+    let open = |server: &Arc<Server>| server.load.lock().open();
+    let least = servers.iter().map(|server| open(server)).min();
+    servers.retain(|server| Some(open(server)) == least);
+}
+
 impl RequestHandler {
     /// Serves one request; dropping the future cancels the request at its server.
     pub async fn serve(&self, request: CallerRequest) -> RequestOutcome {
@@ -119,6 +135,8 @@
         let fingerprint =
             crash_detection::fingerprint(&request, account.as_ref().map(|account| &account.name), &service);
         crash_detection::check_quarantine(&self.board, fingerprint)?;
+        let payer = name_of(account.as_deref());
+        let trial = crash_detection::check_parts(&self.board, request.generation.as_ref(), &payer, &service)?;
         let reservation = self.reserve(&request, account.as_deref(), deadline).await?;
         let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
         let event_tokens = engines.map_or(EVENT_TOKENS_DEFAULT, |spec| spec.event_tokens);
@@ -134,6 +152,7 @@
             deadline,
             reservation,
             tried_servers,
+            trial,
             dispatches,
             maybe_run,
         })
@@ -180,14 +199,14 @@
                 Err(error) => error,
             };
             admitted.tried_servers.push(server.entry.name.clone());
-            self.note_dispatch_error(admitted, &server, &error, 0);
+            let probe = self.note_dispatch_error(admitted, &server, &error, 0);
             let may_continue = match &error {
                 DispatchError::DeadlinePassed => false,
                 DispatchError::NotSent(_) | DispatchError::OtherServer => {
                     admitted.tried_servers.len() < SERVERS_TRIED_MAX
                 }
                 DispatchError::Rejected => admitted.dispatches < admitted.route.max_attempts,
-                DispatchError::Unknown(_) => admitted.may_repeat(),
+                DispatchError::Unknown(_) => admitted.may_repeat() && !has_crashed(probe).await,
             };
             let is_repeat = admitted.dispatches > 0;
             if !may_continue || (is_repeat && !self.board.take_retry(&admitted.service)) {
@@ -259,12 +278,18 @@
     /// Selects a server of the service that takes new work and was not tried yet.
     pub fn select_server(&self, admitted: &AdmittedRequest) -> Option<(Arc<Server>, Selection)> {
         let servers = self.board.servers.of_service(&admitted.service);
+        let (parts, account) = (admitted.shared_parts(), admitted.account_name());
+        let barred = crash_detection::barred_weights(&self.board, &parts, &account, &servers);
         let is_usable = |server: &&Arc<Server>| {
             !server.is_leaving()
                 && server.pause_left().is_none()
                 && !admitted.tried_servers.contains(&server.entry.name)
+                && !barred.iter().any(|(weights, ..)| *weights == server.entry.weights)
         };
-        let usable: Vec<&Arc<Server>> = servers.iter().filter(is_usable).collect();
+        let mut usable: Vec<&Arc<Server>> = servers.iter().filter(is_usable).collect();
+        if admitted.trial.is_some() {
+            keep_least_used(&mut usable);
+        }
         let loads: Vec<_> = usable.iter().map(|server| server.load.lock()).collect();
         let candidates: Vec<Candidate<'_>> = usable
             .iter()
@@ -293,31 +318,44 @@
     }
 
     /// Applies a failed dispatch, of which the caller received `events` events, to the health of its server.
+    ///
+    /// Returns the probe of the server if the request may be what crashed it, so that it must not be sent to another one
+    /// before the probe found the server alive.
     pub fn note_dispatch_error(
         &self,
         admitted: &AdmittedRequest,
         server: &Arc<Server>,
         error: &DispatchError,
         events: u64,
-    ) {
+    ) -> Option<JoinHandle<bool>> {
         let (id, name) = (&admitted.request.id, &server.entry.name);
         log_event!(LogEvent::DispatchFailed, "request={id} server={name} error=\"{error}\" run={}", admitted.maybe_run);
         match error {
             DispatchError::OtherServer => {
                 server.leave();
+                None
             }
-            DispatchError::Rejected | DispatchError::DeadlinePassed => {}
-            DispatchError::NotSent(_) | DispatchError::Unknown(_) => {
-                if let DispatchError::Unknown(_) = error {
-                    crash_detection::probe_server(&self.board, server, admitted, events);
-                }
-                let now = self.board.clock.now();
-                let until = server.load.lock().note_failure(now);
-                log_event!(LogEvent::ServerEjected, "server={name} rest_ms={}", until.since(now).as_millis());
+            DispatchError::Rejected | DispatchError::DeadlinePassed => None,
+            DispatchError::NotSent(_) => {
+                self.eject(server);
+                None
+            }
+            DispatchError::Unknown(_) => {
+                self.eject(server);
+                let is_suspicious = events == 0 && crash_detection::may_be_cause(&self.board, admitted, server);
+                let probe = crash_detection::probe_server(&self.board, server, admitted, events);
+                Some(probe).filter(|_| is_suspicious)
             }
         }
     }
 
+    /// Avoids a server for a while after a failure.
+    fn eject(&self, server: &Server) {
+        let now = self.board.clock.now();
+        let until = server.load.lock().note_failure(now);
+        log_event!(LogEvent::ServerEjected, "server={} rest_ms={}", server.entry.name, until.since(now).as_millis());
+    }
+
     /// Refusal of a request for which no further server is tried.
     pub fn final_refusal(&self, admitted: &AdmittedRequest, reason: &str) -> Refusal {
         let detail = format!(
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -35,6 +35,8 @@
     pub leaving: bool,
     /// Start time of this run of the server, in milliseconds since the Unix epoch.
     pub started_at: Option<u64>,
+    /// Version of the model weights that the server runs, 0 if it states none.
+    pub weights: u64,
 }
 
 impl ServerEntry {
--- a/crates/serving/tests/crashing_parts.rs
+++ b/crates/serving/tests/crashing_parts.rs
@@ -51,7 +51,9 @@
         RequestOutcome::Relayed(_, ResponseBody::Buffered(_)) => Ok(()),
         RequestOutcome::Relayed(_, ResponseBody::Events(mut events)) => {
             while let Some(piece) = events.next().await {
-                piece.map_err(|_| None)?;
+                if piece.is_err() {
+                    return Err(None);
+                }
             }
             Ok(())
         }
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -81,6 +81,7 @@
             slots: 8,
             leaving: state == "leaving",
             started_at: started_at.parse().ok(),
+            weights: 0,
         })
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod messages;
 pub mod operators;
 pub mod ownership;
+pub mod part_blame;
 pub mod peer;
 mod peer_convert;
 pub mod platform;
--- /dev/null
+++ b/crates/wire/src/part_blame.rs
@@ -0,0 +1,93 @@
+//! Encoded record of the crashes and complete answers that an instance saw, by prompt part; the store keeps the newest
+//! record of each instance.
+
+use coltsfootpick_core::part_blame::{PartCrash, PartReport};
+use prost::Message;
+
+/// Newest evidence of one instance; it replaces the earlier record.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PartBlameMessage {
+    /// One report a part.
+    #[prost(message, repeated, tag = "1")]
+    pub reports: Vec<PartReportMessage>,
+}
+
+/// What an instance reports of one part.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PartReportMessage {
+    /// Id of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Crashes while requests with the part were open.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: Vec<PartCrashMessage>,
+    /// Last complete answers, one for each version of the weights.
+    #[prost(message, repeated, tag = "3")]
+    pub sound: Vec<SoundAnswerMessage>,
+}
+
+/// Loss of a server while a request with the part was open there.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PartCrashMessage {
+    /// Time of day in milliseconds since 1970.
+    #[prost(uint64, tag = "1")]
+    pub at: u64,
+    /// Name of the backend server.
+    #[prost(string, tag = "2")]
+    pub server: String,
+    /// Name of the client account.
+    #[prost(string, tag = "3")]
+    pub account: String,
+    /// Version of the weights on the server.
+    #[prost(uint64, tag = "4")]
+    pub weights: u64,
+    /// Whether the request had received events.
+    #[prost(bool, tag = "5")]
+    pub answered: bool,
+}
+
+/// Complete answer to a request with the part.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SoundAnswerMessage {
+    /// Version of the weights that gave it.
+    #[prost(uint64, tag = "1")]
+    pub weights: u64,
+    /// Time of day in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub at: u64,
+}
+
+impl From<PartCrash> for PartCrashMessage {
+    fn from(crash: PartCrash) -> Self {
+        let PartCrash { at, server, account, weights, is_answered } = crash;
+        Self { at, server: server.to_string(), account: account.to_string(), weights, answered: is_answered }
+    }
+}
+
+impl From<PartCrashMessage> for PartCrash {
+    fn from(message: PartCrashMessage) -> Self {
+        let PartCrashMessage { at, server, account, weights, answered } = message;
+        Self { at, server: server.into(), account: account.into(), weights, is_answered: answered }
+    }
+}
+
+impl From<PartReport> for PartReportMessage {
+    fn from(report: PartReport) -> Self {
+        let sound = report.sound.into_iter().map(|(weights, at)| SoundAnswerMessage { weights, at });
+        Self {
+            part: report.part,
+            crashes: report.crashes.into_iter().map(Into::into).collect(),
+            sound: sound.collect(),
+        }
+    }
+}
+
+impl From<PartReportMessage> for PartReport {
+    fn from(message: PartReportMessage) -> Self {
+        Self {
+            part: message.part,
+            crashes: message.crashes.into_iter().map(Into::into).collect(),
+            sound: message.sound.into_iter().map(|answer| (answer.weights, answer.at)).collect(),
+        }
+    }
+}
