Treat a stream without length that ends before its first event as broken off

Cause: the end of such an answer is that of its connection, which a crash closes as well. Change: without an event it counts as broken off, so the request is refused as one that ran, and the crash counts.

--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -142,6 +142,11 @@
                         self.current = Some(exchange);
                         return StreamStep::Events(events);
                     }
+                    StreamRead::End
+                        if self.splitter.events() == 0 && !crash_detection::is_framed(&exchange.response.head) =>
+                    {
+                        "the connection ended before the first event".to_owned()
+                    }
                     StreamRead::End => {
                         self.end(exchange);
                         return StreamStep::End;
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -60,6 +60,18 @@
     assert!(seen.requests[0].contains("x-server: a\r\n") && seen.requests[0].contains("x-account: clinic\r\n"));
 }
 
+/// An answer without length and chunks ends with its connection; a reset breaks it off.
+#[tokio::test]
+async fn unframed_response() {
+    let answer = ServerAction::Write("HTTP/1.1 200 X\r\nx-id: $ID\r\n\r\ndone".to_owned());
+    let pause = ServerAction::Wait(Duration::from_millis(50));
+    let whole = vec![answer.clone(), ServerAction::Close];
+    let (harness, _servers) = start_harness(vec![vec![whole, vec![answer, pause, ServerAction::Reset]]]).await;
+    assert_eq!(relayed_response(call(&harness, "apply").await), (200, "done".to_owned()));
+    let refusal = refusal_of(call(&harness, "apply").await);
+    assert_eq!((refusal.run, refusal.code), (RunStatus::MayHaveRun, Code::BackendFailed));
+}
+
 #[tokio::test]
 async fn rejected_elsewhere() {
     let (harness, servers) = start_harness(vec![rejecting_script(), vec![vec![response(200, "", "done")]]]).await;
--- a/crates/serving/tests/streams.rs
+++ b/crates/serving/tests/streams.rs
@@ -11,6 +11,7 @@
     Script, ScriptedServer, ServerAction, chunk, chunked_head, event, header, stream_head,
 };
 use futures_util::StreamExt;
+use test_case::test_case;
 
 async fn start_harness(scripts: Vec<Script>) -> (RequestHarness, Vec<ScriptedServer>) {
     let mut servers = Vec::new();
@@ -61,6 +62,24 @@
     assert_eq!(read_stream(harness.handler.serve(request("ask")).await).await, (events(1..=2), true));
 }
 
+/// Without length and chunks only a reset or a partial event shows that the answer broke off.
+#[test_case("id: 3\nda", ServerAction::Close; "partial event")]
+#[test_case("", ServerAction::Reset; "reset")]
+#[tokio::test]
+async fn unframed_break(rest: &str, end: ServerAction) {
+    let words = ServerAction::Write(format!("{}{rest}", events(1..=2)));
+    let pause = ServerAction::Wait(Duration::from_millis(50));
+    let (harness, _servers) = start_harness(vec![vec![vec![stream_head(), words, pause, end]]]).await;
+    assert_eq!(read_stream(harness.handler.serve(request("ask")).await).await, (events(1..=2), false));
+}
+
+#[tokio::test]
+async fn unframed_empty() {
+    let (harness, _servers) = start_harness(vec![vec![vec![stream_head(), ServerAction::Close]]]).await;
+    let RequestOutcome::Refused(refusal) = harness.handler.serve(request("ask")).await else { panic!("no event came") };
+    assert_eq!(refusal.run, RunStatus::Ran);
+}
+
 #[tokio::test]
 async fn partial_event() {
     let broken = vec![chunked_head(), chunk(&events(1..=2)), chunk("id: 3\nda"), ServerAction::Close];
