Read and log the limit that a backend server names

Cause: nothing in the logs of second1 tells that a server named a limit, so its hypotheses cannot be separated. No decision reads it yet.

--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -169,6 +169,11 @@
         let is_cut = pause > PAUSE_MAX;
         log_event!(LogEvent::ServerPaused, "server={name} pause_ms={} cut={is_cut}", pause.min(PAUSE_MAX).as_millis());
     }
+    match (notice.limit, &notice.invalid_limit) {
+        (Some(limit), _) => log_event!(LogEvent::ServerLimited, "server={name} limit={limit} told-by=answer"),
+        (None, Some(text)) => log_event!(LogEvent::ServerLimited, "server={name} ignored={text:?}"),
+        (None, None) => {}
+    }
     if let Some(text) = &notice.invalid_pause {
         log_event!(LogEvent::ServerPaused, "server={name} ignored={text:?}");
     }
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -168,7 +168,7 @@
 }
 
 /// What the head of a response tells about its server, whatever becomes of the request.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServerNotice {
     /// Whether the server is leaving and takes no new work.
     pub is_leaving: bool,
@@ -176,6 +176,10 @@
     pub pause: Option<Duration>,
     /// Value of a pause that could not be read.
     pub invalid_pause: Option<String>,
+    /// Requests a second that the server takes from all instances together; `None` if it names no limit.
+    pub limit: Option<f64>,
+    /// Value of a limit that could not be read; the limit known before stays.
+    pub invalid_limit: Option<String>,
 }
 
 /// Protocol spoken with the backend servers.
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -41,6 +41,8 @@
     ServerEjected,
     /// A backend server asked this instance to pause, or asked so in a way that could not be read.
     ServerPaused,
+    /// A backend server named a limit of requests a second for the whole fleet, or lifted it.
+    ServerLimited,
     /// A response of a backend server exceeded a size limit, and its connection was closed.
     ResponseOversized,
     /// A request was dispatched to a backend server.
@@ -108,6 +110,7 @@
         Self::ServerReplaced,
         Self::ServerEjected,
         Self::ServerPaused,
+        Self::ServerLimited,
         Self::ResponseOversized,
         Self::Dispatched,
         Self::DispatchFailed,
@@ -154,6 +157,7 @@
             Self::ServerEjected => "CP1205",
             Self::ServerPaused => "CP1206",
             Self::ResponseOversized => "CP1207",
+            Self::ServerLimited => "CP1208",
             Self::Dispatched => "CP1300",
             Self::DispatchFailed => "CP1301",
             Self::StreamResumed => "CP1302",
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -16,7 +16,8 @@
 use http_body_util::Full;
 
 /// Sends the headers `x-id`, `x-server`, `x-left`, `x-account` and `x-resumes`. The header `x-not-run` of a response
-/// says that the request did not run, `x-leaving` that the server leaves, `x-pause` how many seconds it wants nothing.
+/// says that the request did not run, `x-leaving` that the server leaves, `x-pause` how many seconds it wants nothing, `x-limit` how
+/// many requests a second it takes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlainProtocol;
 
@@ -48,7 +49,15 @@
         let text = head.headers.get("x-pause").and_then(|value| value.to_str().ok());
         let pause = text.and_then(|text| text.parse().ok()).map(Duration::from_secs_f64);
         let invalid_pause = text.filter(|_| pause.is_none()).map(str::to_owned);
-        ServerNotice { is_leaving: head.headers.contains_key("x-leaving"), pause, invalid_pause }
+        let limit = head.headers.get("x-limit").and_then(|value| value.to_str().ok());
+        let is_leaving = head.headers.contains_key("x-leaving");
+        ServerNotice {
+            is_leaving,
+            pause,
+            invalid_pause,
+            limit: limit.and_then(|text| text.parse().ok()),
+            invalid_limit: None,
+        }
     }
 
     fn idle_time(&self, _head: &Parts) -> Option<Duration> {
