--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -36,6 +36,8 @@
     pub requests: Vec<String>,
     /// Number of accepted connections.
     pub connections: usize,
+    /// Times at which the requests arrived.
+    pub arrivals: Vec<tokio::time::Instant>,
     /// Number of connections that the client closed.
     pub closed: usize,
 }
@@ -124,6 +126,7 @@
         let index = {
             let mut recorded = recorded.lock();
             recorded.requests.push(request.clone());
+            recorded.arrivals.push(tokio::time::Instant::now());
             recorded.requests.len() - 1
         };
         let id = header(&request, "x-id").unwrap_or_default();
