Rename the topic of part reports to observations

Cause: what an instance learns of a server is needed by all others in more than one matter, and one record each suffices.

--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -101,8 +101,8 @@
     pub quarantine: Mutex<Quarantine>,
     /// Evidence about prompt parts that crash servers.
     pub part_blame: Mutex<PartBlame>,
-    /// Notified when there is evidence to report.
-    pub part_news: Notify,
+    /// Notified when there are observations to report.
+    pub observation_news: Notify,
     /// Bytes of response bodies that are being buffered.
     pub buffered: BufferedTotal,
     /// Counters and histograms.
@@ -136,7 +136,7 @@
             servers: ServerTable::default(),
             quarantine: Mutex::default(),
             part_blame: Mutex::default(),
-            part_news: Notify::new(),
+            observation_news: Notify::new(),
             buffered: BufferedTotal::default(),
             metrics: Metrics::default(),
             draining: CancellationToken::new(),
--- a/crates/serving/src/crash_detection.rs
+++ b/crates/serving/src/crash_detection.rs
@@ -189,7 +189,7 @@
     }
     let convicted = board.part_blame.lock().convicted_count(board.clock.now());
     board.metrics.convicted_parts.set(i64::try_from(convicted).unwrap_or(i64::MAX));
-    board.part_news.notify_one();
+    board.observation_news.notify_one();
 }
 
 /// Whether an unanswered request may be the cause if its server is lost: this instance saw no complete answer on one of
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -29,8 +29,8 @@
     Credit,
     /// Peer addresses of the instances.
     Instances,
-    /// Evidence of the instances about prompt parts that crash backend servers.
-    Parts,
+    /// What each instance observed of backend servers and the requests that ran there.
+    Observations,
 }
 
 /// Record of a topic: a key with a value, or the deletion of a key.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,7 +18,7 @@
 mod credit_renewal;
 pub mod dispatch;
 pub mod drain;
-pub mod part_reports;
+pub mod observations;
 pub mod peer_client;
 pub mod peer_list;
 pub mod peer_server;
--- a/crates/serving/src/part_reports.rs
+++ b/crates/serving/src/observations.rs
@@ -1,11 +1,11 @@
-//! Shares the evidence about prompt parts that crash backend servers: each instance keeps one record of what it saw in
-//! the store, and reads those of all others. See `docs/ADMISSION.md#parts`.
+//! Shares what the instances observe of backend servers: each keeps one record of it in the store and reads those of all
+//! others. See `docs/ADMISSION.md#parts`.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootpick_core::part_blame::PartReport;
-use coltsfootpick_wire::part_blame::PartBlameMessage;
+use coltsfootpick_wire::observations::ObservationMessage;
 use prost::Message;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -17,9 +17,10 @@
 use crate::log_events::LogEvent;
 use crate::topic_reader::{PollPolicy, RecordSink, follow};
 
-/// Polling of the evidence: an idle fleet makes one call in eight seconds an instance, and hundreds of instances that
-/// learn of a crash make four a second each.
-const PART_POLL: PollPolicy = PollPolicy { max_wait: Duration::from_secs(8), batch_pause: Duration::from_millis(250) };
+/// Polling of the observations: an idle fleet makes one call in eight seconds an instance, and hundreds of instances
+/// that learn of a crash make four a second each.
+const OBSERVATION_POLL: PollPolicy =
+    PollPolicy { max_wait: Duration::from_secs(8), batch_pause: Duration::from_millis(250) };
 
 /// Pause after a write, so that the next one holds several crashes.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
@@ -27,33 +28,33 @@
 /// Pause before a failed write is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Starts the tasks that read and write the evidence, until `stop` is cancelled.
+/// Starts the tasks that read and write observations, until `stop` is cancelled.
 pub fn start(board: &Arc<Blackboard>, store: &Arc<dyn KeyedLog>, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
     let listed = CancellationToken::new();
-    let sink = PartController { board: Arc::clone(board), listed: listed.clone() };
+    let sink = ObservationController { board: Arc::clone(board), listed: listed.clone() };
     let writing = write_reports(Arc::clone(board), Arc::clone(store), listed);
     let writing = stop.clone().run_until_cancelled_owned(writing);
     vec![
-        tokio::spawn(follow(Arc::clone(store), Topic::Parts, PART_POLL, sink, stop.clone())),
+        tokio::spawn(follow(Arc::clone(store), Topic::Observations, OBSERVATION_POLL, sink, stop.clone())),
         tokio::spawn(async move {
             writing.await;
         }),
     ]
 }
 
-/// Writes the own evidence whenever there is news; the record of an earlier run is read first, which it replaces.
+/// Writes the own observations whenever there is news; the record of an earlier run is read first, which it replaces.
 async fn write_reports(board: Arc<Blackboard>, store: Arc<dyn KeyedLog>, listed: CancellationToken) {
     listed.cancelled().await;
     loop {
         if !board.part_blame.lock().take_news() {
-            board.part_news.notified().await;
+            board.observation_news.notified().await;
             continue;
         }
         let reports = board.part_blame.lock().own_reports(board.clock.now());
-        let message = PartBlameMessage { reports: reports.into_iter().map(Into::into).collect() };
+        let message = ObservationMessage { parts: reports.into_iter().map(Into::into).collect() };
         let record = KeyedRecord { key: Arc::clone(&board.instance.name), value: Some(message.encode_to_vec().into()) };
-        if let Err(error) = store.append(Topic::Parts, None, vec![record]).await {
-            log::debug!("evidence about parts not written: {error}");
+        if let Err(error) = store.append(Topic::Observations, None, vec![record]).await {
+            log::debug!("observations not written: {error}");
             board.part_blame.lock().repeat_reports();
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -61,15 +62,15 @@
     }
 }
 
-/// Controller that merges the evidence of all instances.
+/// Controller that merges the observations of all instances.
 #[derive(Debug)]
-struct PartController {
+struct ObservationController {
     board: Arc<Blackboard>,
     /// Cancelled once the records were read.
     listed: CancellationToken,
 }
 
-impl RecordSink for PartController {
+impl RecordSink for ObservationController {
     fn replace_all(&mut self, records: Vec<KeyedRecord>) {
         for record in records {
             self.apply(record);
@@ -79,10 +80,10 @@
 
     fn apply(&mut self, record: KeyedRecord) {
         let Some(value) = record.value else { return };
-        let reports: Vec<PartReport> = match PartBlameMessage::decode(value) {
-            Ok(message) => message.reports.into_iter().map(Into::into).collect(),
+        let reports: Vec<PartReport> = match ObservationMessage::decode(value) {
+            Ok(message) => message.parts.into_iter().map(Into::into).collect(),
             Err(error) => {
-                log_event!(LogEvent::RecordSkipped, "topic=parts key={:?} reason={error}", record.key);
+                log_event!(LogEvent::RecordSkipped, "topic=observations key={:?} reason={error}", record.key);
                 return;
             }
         };
@@ -95,7 +96,7 @@
 
     fn note_restored(&mut self) {
         self.board.part_blame.lock().repeat_reports();
-        self.board.part_news.notify_one();
+        self.board.observation_news.notify_one();
     }
 
     fn tick(&mut self) {}
--- a/crates/testkit/src/keyed_store.rs
+++ b/crates/testkit/src/keyed_store.rs
@@ -84,7 +84,7 @@
         Topic::Servers => "servers",
         Topic::Credit => "credit",
         Topic::Instances => "instances",
-        Topic::Parts => "parts",
+        Topic::Observations => "observations",
     }
 }
 
--- a/crates/testkit/src/request_harness.rs
+++ b/crates/testkit/src/request_harness.rs
@@ -12,7 +12,7 @@
 use coltsfootpick_serving::counted_log::CountedLog;
 use coltsfootpick_serving::credit_controller::CreditController;
 use coltsfootpick_serving::interfaces::KeyedLog;
-use coltsfootpick_serving::part_reports;
+use coltsfootpick_serving::observations;
 use coltsfootpick_serving::request::CallerRequest;
 use coltsfootpick_serving::request_handler::RequestHandler;
 use coltsfootpick_serving::servers::ServerEntry;
@@ -95,7 +95,7 @@
         let stop = CancellationToken::new();
         tokio::spawn(Arc::clone(&controller).run(stop.clone()));
         tokio::spawn(Arc::clone(&controller).settle_loans(stop.clone()));
-        part_reports::start(&board, &(Arc::new(store.clone()) as Arc<dyn KeyedLog>), &stop);
+        observations::start(&board, &(Arc::new(store.clone()) as Arc<dyn KeyedLog>), &stop);
         Self { handler: RequestHandler { board, credit: controller, protocol: Arc::new(PlainProtocol) }, stop }
     }
 
--- a/crates/wire/src/part_blame.rs
+++ b/crates/wire/src/observations.rs
@@ -1,15 +1,14 @@
-//! Encoded record of the crashes and complete answers that an instance saw, by prompt part; the store keeps the newest
-//! record of each instance.
+//! Encoded record of what an instance observed of backend servers; the store keeps the newest record of each instance.
 
 use coltsfootpick_core::part_blame::{PartCrash, PartReport};
 use prost::Message;
 
-/// Newest evidence of one instance; it replaces the earlier record.
+/// Newest observations of one instance; they replace the earlier record.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct PartBlameMessage {
-    /// One report a part.
+pub struct ObservationMessage {
+    /// Crashes and complete answers by prompt part.
     #[prost(message, repeated, tag = "1")]
-    pub reports: Vec<PartReportMessage>,
+    pub parts: Vec<PartReportMessage>,
 }
 
 /// What an instance reports of one part.
