Keep to the limit that a server names, over the whole fleet

Callers saw: servers in need that slowed down, since those that had named 1.5 and 2 requests a second went on getting 4 to 5 (LIMIT, second1: 23 of 14 and 19 of 17 requests in 4 s). Cause: nothing read Server-Limit. Read by each instance alone, the sum over the fleet would break it as well. Change: core::server_limits shares a limit among few instances that all compute alike; the others learn of it from the observations in the store. Selection leaves out a server whose share is used up; a refusal names the time of the next.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod retry;
 pub mod routes;
 pub mod selection;
+pub mod server_limits;
 pub mod shard;
 pub mod shard_credit;
 pub mod sizing;
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -12,10 +12,12 @@
 use coltsfootpick_core::retry::{RetryBudget, RetryRatio};
 use coltsfootpick_core::routes::RouteTable;
 use coltsfootpick_core::selection::Location;
+use coltsfootpick_core::server_limits::{FleetPlace, ServerLimits, ServerRun};
 use coltsfootpick_core::units::Instant;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::buffered_body::BufferedTotal;
 use crate::log_event;
@@ -101,6 +103,8 @@
     pub quarantine: Mutex<Quarantine>,
     /// Evidence about prompt parts that crash servers.
     pub part_blame: Mutex<PartBlame>,
+    /// Limits of requests a second that servers named.
+    pub server_limits: Mutex<ServerLimits>,
     /// Notified when there are observations to report.
     pub observation_news: Notify,
     /// Bytes of response bodies that are being buffered.
@@ -136,6 +140,7 @@
             servers: ServerTable::default(),
             quarantine: Mutex::default(),
             part_blame: Mutex::default(),
+            server_limits: Mutex::default(),
             observation_news: Notify::new(),
             buffered: BufferedTotal::default(),
             metrics: Metrics::default(),
@@ -262,6 +267,26 @@
         self.fleet.read().lenders().to_vec()
     }
 
+    /// Place of this instance among those that share the limit of a server.
+    fn limit_place(&self, run: &ServerRun) -> FleetPlace {
+        let fleet = self.fleet.read();
+        let size = if self.fleet_listed.is_cancelled() { fleet.len() } else { self.fleet_size() };
+        let turn = fleet.turn(&self.instance.name, xxh3_64(run.name.as_bytes()));
+        FleetPlace { turn: turn as usize, size }
+    }
+
+    /// Time until this instance may send a request to a server that may have named a limit, zero if now; `None` if other
+    /// instances share the limit.
+    pub fn limit_wait(&self, run: &ServerRun) -> Option<Duration> {
+        let limits = self.server_limits.lock();
+        limits.wait(run, || self.limit_place(run), self.clock.now())
+    }
+
+    /// Counts a request that is sent to a server against the limit that the server may have named.
+    pub fn take_limit(&self, run: &ServerRun) {
+        self.server_limits.lock().take(run, || self.limit_place(run), self.clock.now());
+    }
+
     /// Number of instances that may try the formerly convicted `part` before this one.
     pub fn trial_turn(&self, part: u64) -> u32 {
         self.fleet.read().turn(&self.instance.name, part)
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use coltsfootpick_core::selection::{Generation, Selection};
+use coltsfootpick_core::server_limits::LimitChange;
 use derive_more::Display;
 use http::response::Parts;
 use http_body_util::BodyExt;
@@ -157,6 +158,19 @@
     log_event!(LogEvent::ResponseOversized, "server={} reason={reason:?}", server.entry.name);
 }
 
+/// Logs and counts changes of servers' limits, and has them reported.
+pub fn note_limit_changes(board: &Blackboard, changes: &[LimitChange], told_by: &str) {
+    for LimitChange { name, limit } in changes {
+        let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        log_event!(LogEvent::ServerLimited, "server={name} limit={limit} told-by={told_by}");
+    }
+    if !changes.is_empty() {
+        let limited = board.server_limits.lock().limited_count();
+        board.metrics.limited_servers.set(i64::try_from(limited).unwrap_or(i64::MAX));
+    }
+    board.observation_news.notify_one();
+}
+
 /// Applies what the head of a response tells about its server.
 fn note_server(board: &Blackboard, server: &Server, notice: &ServerNotice) {
     let name = &server.entry.name;
@@ -169,10 +183,13 @@
         let is_cut = pause > PAUSE_MAX;
         log_event!(LogEvent::ServerPaused, "server={name} pause_ms={} cut={is_cut}", pause.min(PAUSE_MAX).as_millis());
     }
-    match (notice.limit, &notice.invalid_limit) {
-        (Some(limit), _) => log_event!(LogEvent::ServerLimited, "server={name} limit={limit} told-by=answer"),
-        (None, Some(text)) => log_event!(LogEvent::ServerLimited, "server={name} ignored={text:?}"),
-        (None, None) => {}
+    if let Some(text) = &notice.invalid_limit {
+        log_event!(LogEvent::ServerLimited, "server={name} ignored={text:?}");
+    }
+    let may_lift = || notice.invalid_limit.is_none() && !board.server_limits.lock().is_empty();
+    if notice.limit.is_some() || may_lift() {
+        let change = board.server_limits.lock().record(&server.entry.run(), notice.limit, board.clock.reading());
+        note_limit_changes(board, change.as_slice(), "answer");
     }
     if let Some(text) = &notice.invalid_pause {
         log_event!(LogEvent::ServerPaused, "server={name} ignored={text:?}");
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -32,6 +32,8 @@
     pub server_pauses: Counter,
     /// Prompt parts that are convicted of crashing servers.
     pub convicted_parts: Gauge,
+    /// Servers that have named a limit of requests a second.
+    pub limited_servers: Gauge,
     /// Responses that exceeded a size limit and were cut.
     pub responses_oversized: Counter,
     /// Time from the arrival of a request to the first byte of its response, in seconds.
@@ -52,6 +54,7 @@
             tokens: Counter::default(),
             server_pauses: Counter::default(),
             convicted_parts: Gauge::default(),
+            limited_servers: Gauge::default(),
             responses_oversized: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
             whole_answer: Histogram::new(BUCKETS),
@@ -75,6 +78,8 @@
         registry.register("server_pauses", "Pauses that servers asked for", self.server_pauses.clone());
         let parts = self.convicted_parts.clone();
         registry.register("convicted_parts", "Prompt parts that are convicted of crashing servers", parts);
+        let limited = self.limited_servers.clone();
+        registry.register("limited_servers", "Servers that have named a limit of requests a second", limited);
         let oversized = self.responses_oversized.clone();
         registry.register("oversized_answers", "Answers of servers that were cut at a size limit", oversized);
         let first = self.first_byte.clone();
--- a/crates/serving/src/observations.rs
+++ b/crates/serving/src/observations.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coltsfootpick_core::part_blame::PartReport;
+use coltsfootpick_core::server_limits::LimitReport;
 use coltsfootpick_wire::observations::ObservationMessage;
 use prost::Message;
 use tokio::task::JoinHandle;
@@ -12,6 +13,7 @@
 
 use crate::blackboard::Blackboard;
 use crate::crash_detection::note_changes;
+use crate::dispatch::note_limit_changes;
 use crate::interfaces::{KeyedLog, KeyedRecord, Topic};
 use crate::log_event;
 use crate::log_events::LogEvent;
@@ -46,16 +48,23 @@
 async fn write_reports(board: Arc<Blackboard>, store: Arc<dyn KeyedLog>, listed: CancellationToken) {
     listed.cancelled().await;
     loop {
-        if !board.part_blame.lock().take_news() {
+        let has_part_news = board.part_blame.lock().take_news();
+        if !board.server_limits.lock().take_news() && !has_part_news {
             board.observation_news.notified().await;
             continue;
         }
-        let reports = board.part_blame.lock().own_reports(board.clock.now());
-        let message = ObservationMessage { parts: reports.into_iter().map(Into::into).collect() };
+        let now = board.clock.now();
+        let parts = board.part_blame.lock().own_reports(now);
+        let limits = board.server_limits.lock().own_reports(now);
+        let message = ObservationMessage {
+            parts: parts.into_iter().map(Into::into).collect(),
+            limits: limits.into_iter().map(Into::into).collect(),
+        };
         let record = KeyedRecord { key: Arc::clone(&board.instance.name), value: Some(message.encode_to_vec().into()) };
         if let Err(error) = store.append(Topic::Observations, None, vec![record]).await {
             log::debug!("observations not written: {error}");
             board.part_blame.lock().repeat_reports();
+            board.server_limits.lock().repeat_reports();
             tokio::time::sleep(RETRY_PAUSE).await;
         }
         tokio::time::sleep(WRITE_PAUSE).await;
@@ -80,22 +89,27 @@
 
     fn apply(&mut self, record: KeyedRecord) {
         let Some(value) = record.value else { return };
-        let reports: Vec<PartReport> = match ObservationMessage::decode(value) {
-            Ok(message) => message.parts.into_iter().map(Into::into).collect(),
+        let message = match ObservationMessage::decode(value) {
+            Ok(message) => message,
             Err(error) => {
                 log_event!(LogEvent::RecordSkipped, "topic=observations key={:?} reason={error}", record.key);
                 return;
             }
         };
-        let is_own = record.key == self.board.instance.name;
-        let changes = self.board.part_blame.lock().merge(reports, is_own, self.board.clock.reading());
+        let (clock, is_own) = (self.board.clock.reading(), record.key == self.board.instance.name);
+        let parts: Vec<PartReport> = message.parts.into_iter().map(Into::into).collect();
+        let changes = self.board.part_blame.lock().merge(parts, is_own, clock);
         note_changes(&self.board, &changes, &record.key);
+        let limits: Vec<LimitReport> = message.limits.into_iter().map(Into::into).collect();
+        let changes = self.board.server_limits.lock().merge(limits, clock);
+        note_limit_changes(&self.board, &changes, &record.key);
     }
 
     fn note_recovery(&mut self, _outage: Duration) {}
 
     fn note_restored(&mut self) {
         self.board.part_blame.lock().repeat_reports();
+        self.board.server_limits.lock().repeat_reports();
         self.board.observation_news.notify_one();
     }
 
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -189,8 +189,8 @@
         loop {
             let Some((server, selection)) = self.select_server(admitted) else {
                 let refusal = self.final_refusal(admitted, "no server takes it");
-                return Err(match self.shortest_pause(&admitted.service) {
-                    Some(pause) if refusal.retry_after.is_some() => refusal.retry_after(spread(pause)),
+                return Err(match self.shortest_wait(&admitted.service) {
+                    Some(wait) if refusal.retry_after.is_some() => refusal.retry_after(spread(wait)),
                     _ => refusal,
                 });
             };
@@ -283,6 +283,7 @@
         let is_usable = |server: &&Arc<Server>| {
             !server.is_leaving()
                 && server.pause_left().is_none()
+                && self.board.limit_wait(&server.entry.run()).is_some_and(|wait| wait.is_zero())
                 && !admitted.tried_servers.contains(&server.entry.name)
                 && !barred.iter().any(|(weights, ..)| *weights == server.entry.weights)
         };
@@ -307,14 +308,21 @@
             now: self.board.clock.now(),
         };
         let selection = choose(&request, &candidates)?;
-        Some((Arc::clone(usable[selection.index]), selection))
+        let server = usable[selection.index];
+        self.board.take_limit(&server.entry.run());
+        Some((Arc::clone(server), selection))
     }
 
-    /// Shortest rest of a pause, if every server of `service` that stays is paused.
-    fn shortest_pause(&self, service: &ServiceName) -> Option<Duration> {
+    /// Shortest time until a server of `service` takes a request of this instance, if every one that stays is paused or
+    /// has reached its limit.
+    fn shortest_wait(&self, service: &ServiceName) -> Option<Duration> {
         let servers = self.board.servers.of_service(service);
-        let pauses = servers.iter().filter(|server| !server.is_leaving()).map(|server| server.pause_left());
-        pauses.collect::<Option<Vec<Duration>>>()?.into_iter().min()
+        let wait = |server: &Arc<Server>| {
+            let pause = server.pause_left().unwrap_or_default();
+            self.board.limit_wait(&server.entry.run()).map(|limit| limit.max(pause))
+        };
+        let waits: Vec<Duration> = servers.iter().filter(|server| !server.is_leaving()).filter_map(wait).collect();
+        waits.into_iter().min().filter(|wait| !wait.is_zero())
     }
 
     /// Applies a failed dispatch, of which the caller received `events` events, to the health of its server.
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -10,6 +10,7 @@
 
 use coltsfootpick_core::names::{BackendServerName, ServiceName};
 use coltsfootpick_core::selection::{Location, ServerLoad};
+use coltsfootpick_core::server_limits::ServerRun;
 use parking_lot::{Mutex, RwLock};
 use tokio::time::Instant;
 
@@ -40,6 +41,11 @@
 }
 
 impl ServerEntry {
+    /// Identifies this run of the server to other instances.
+    pub fn run(&self) -> ServerRun {
+        ServerRun { name: self.name.clone(), started_at: self.started_at }
+    }
+
     fn is_same_run(&self, other: &Self) -> bool {
         self.address == other.address && self.service == other.service && self.started_at == other.started_at
     }
--- a/crates/serving/tests/server_limits.rs
+++ b/crates/serving/tests/server_limits.rs
@@ -8,7 +8,7 @@
 use coltsfootpick_serving::outcome::RequestOutcome;
 use coltsfootpick_testkit::keyed_store::KeyedStore;
 use coltsfootpick_testkit::request_harness::{RequestHarness, request, server_entry};
-use coltsfootpick_testkit::scripted_server::{ScriptedServer, response};
+use coltsfootpick_testkit::scripted_server::{ScriptedServer, ServerAction, response};
 use tokio::time::Instant;
 
 const LIMIT: f64 = 1.5;
@@ -23,8 +23,10 @@
     ScriptedServer::start(vec![vec![response(200, &format!("x-limit: {limit}\r\n"), "limited")]]).await
 }
 
+/// Slower than the limited one, so that requests go there only because of the limit.
 async fn free_server() -> ScriptedServer {
-    ScriptedServer::start(vec![vec![response(200, "", "free")]]).await
+    let work = ServerAction::Wait(Duration::from_millis(30));
+    ScriptedServer::start(vec![vec![work, response(200, "", "free")]]).await
 }
 
 /// Starts `size` instances that share a store and know each other.
--- a/crates/wire/src/observations.rs
+++ b/crates/wire/src/observations.rs
@@ -1,14 +1,50 @@
 //! Encoded record of what an instance observed of backend servers; the store keeps the newest record of each instance.
 
 use coltsfootpick_core::part_blame::{PartCrash, PartReport};
+use coltsfootpick_core::server_limits::{LimitReport, ServerRun};
 use prost::Message;
 
 /// Newest observations of one instance; they replace the earlier record.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub struct ObservationMessage {
     /// Crashes and complete answers by prompt part.
     #[prost(message, repeated, tag = "1")]
     pub parts: Vec<PartReportMessage>,
+    /// Limits that servers named.
+    #[prost(message, repeated, tag = "2")]
+    pub limits: Vec<LimitReportMessage>,
+}
+
+/// Limit that a run of a backend server named.
+#[derive(Clone, PartialEq, Message)]
+pub struct LimitReportMessage {
+    /// Name of the backend server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Start time of the run in milliseconds since 1970, if known.
+    #[prost(uint64, optional, tag = "2")]
+    pub started_at: Option<u64>,
+    /// Requests a second; absent once the server names no limit any more.
+    #[prost(double, optional, tag = "3")]
+    pub limit: Option<f64>,
+    /// Time of day of the answer in milliseconds since 1970.
+    #[prost(uint64, tag = "4")]
+    pub at: u64,
+}
+
+impl From<LimitReport> for LimitReportMessage {
+    fn from(report: LimitReport) -> Self {
+        let LimitReport { run, limit, at } = report;
+        Self { server: run.name.to_string(), started_at: run.started_at, limit, at }
+    }
+}
+
+impl From<LimitReportMessage> for LimitReport {
+    fn from(message: LimitReportMessage) -> Self {
+        let LimitReportMessage { server, started_at, limit, at } = message;
+        let limit = limit.filter(|limit| limit.is_finite() && *limit >= 0.0);
+        Self { run: ServerRun { name: server.into(), started_at }, limit, at }
+    }
 }
 
 /// What an instance reports of one part.
