Spread the reports of answers that clear a part, and play whole fleets

Cause: an accused first part is cleared by every instance that had just seen an answer on it, at 295 instances by as many writes at the same moment; and nothing showed that the crashes end at that size. Change: such reports are spread over 2 ms an instance and left out once another instance has told; limits are looked up only while a server has one. crashes_end plays a minute at 6, 75 and 295 instances with reports of 700 ms.

--- a/crates/core/src/part_blame.rs
+++ b/crates/core/src/part_blame.rs
@@ -242,6 +242,8 @@
     /// Parts of which a request runs on trial at this instance.
     trials: HashSet<u64>,
     has_news: bool,
+    /// Accused parts that this instance can clear by a complete answer of its own, which others may do first.
+    answers: BTreeSet<u64>,
 }
 
 impl PartBlame {
@@ -286,7 +288,7 @@
             let Some(record) = self.records.get_mut(&part) else { continue };
             if record.add_sound(weights, clock.unix) {
                 record.is_own = true;
-                self.has_news = true;
+                self.answers.insert(part);
                 changes.extend(self.change(part, clock.now));
             }
         }
@@ -337,13 +339,14 @@
                 let sound_age = self.sound.age(report.part, weights, clock.now);
                 if sound_age.is_some_and(|age| age < SOUND_TIME) && record.add_sound(weights, clock.unix) {
                     record.is_own = true;
-                    self.has_news = true;
+                    self.answers.insert(report.part);
                 }
             }
             for (weights, at) in report.sound {
                 let known = record.report.sound.entry(weights).or_default();
                 is_changed |= *known < at;
                 *known = at.max(*known);
+                self.answers.remove(&report.part);
             }
             if is_changed {
                 changes.extend(self.change(report.part, clock.now));
@@ -357,13 +360,19 @@
         self.has_news = true;
     }
 
-    /// Returns whether there is something to report since the last call.
+    /// Returns whether there is something to report at once since the last call.
     pub fn take_news(&mut self) -> bool {
         std::mem::take(&mut self.has_news)
     }
 
+    /// Returns whether complete answers are to be reported that no other instance has told yet.
+    pub fn has_answers(&self) -> bool {
+        !self.answers.is_empty()
+    }
+
     /// Reports of the parts to whose evidence this instance contributed, at most `REPORTS_MAX`, the newest ones.
-    pub fn own_reports(&self, now: Instant) -> Vec<PartReport> {
+    pub fn own_reports(&mut self, now: Instant) -> Vec<PartReport> {
+        self.answers.clear();
         let is_current = |record: &&PartRecord| record.is_own && !record.has_expired(now);
         let mut own: Vec<&PartRecord> = self.records.values().filter(is_current).collect();
         own.sort_by_key(|record| std::cmp::Reverse(record.crashed_at));
--- a/crates/core/tests/part_blame.rs
+++ b/crates/core/tests/part_blame.rs
@@ -159,7 +159,7 @@
         fleet[instance].record_crash([BAD, 8], &crash(number, "a", number * 1_000), at(number * 1_000));
     }
     fleet[0].record_sound([8], 1, clock(3_000));
-    let reports: Vec<_> = fleet.iter().map(|blame| blame.own_reports(at(3_000))).collect();
+    let reports: Vec<_> = fleet.iter_mut().map(|blame| blame.own_reports(at(3_000))).collect();
     for blame in &mut fleet {
         // Repeated and in any order.
         for report in reports.iter().chain(reports.iter().rev()) {
@@ -232,3 +232,79 @@
     println!("{convicted} of 720 sound parts convicted in 180 rounds with {together} servers lost");
     assert_eq!(convicted, 0, "a loss of servers blamed sound parts");
 }
+
+/// Outcome of [`play_fleet`].
+#[derive(Debug, Default)]
+struct FleetOutcome {
+    crashes: Vec<u64>,
+    /// Requests with the bad part that were sent later than the stable window after the fifth crash.
+    sent_late: usize,
+    sound: usize,
+    sound_refused: usize,
+}
+
+/// Plays a minute of 100 sound requests and `bad` ones with the bad part a second at `size` instances before 18 servers.
+///
+/// Every request has one of eight first parts and one of 240 second parts; reports reach all instances after 700 ms.
+fn play_fleet(size: usize, bad: u64) -> FleetOutcome {
+    const SERVERS: u64 = 18;
+    let mut random = ChaCha12Rng::seed_from_u64(size as u64);
+    let mut draw = move |limit: u64| random.next_u64() % limit;
+    let mut fleet: Vec<PartBlame> = (0..size).map(|_| PartBlame::default()).collect();
+    let mut outcome = FleetOutcome::default();
+    let mut open: Vec<(u64, u64, usize, Vec<u64>)> = Vec::new();
+    let mut reports = Vec::new();
+    for now in (0..60_000_u64).step_by(50) {
+        // Twenty steps a second.
+        let is_bad_due = now > 20_000 && draw(20) < bad;
+        for is_bad in std::iter::once(true).filter(|_| is_bad_due).chain([false; 5]) {
+            let mut parts = vec![10 + draw(8), 100 + draw(240)];
+            parts.extend(is_bad.then_some(BAD));
+            let instance = usize::try_from(draw(size as u64)).unwrap();
+            let is_refused = parts.iter().any(|part| is_convicted(&fleet[instance], *part, "a", now));
+            outcome.sound += usize::from(!is_bad);
+            outcome.sound_refused += usize::from(!is_bad && is_refused);
+            let is_late = outcome.crashes.get(4).is_some_and(|fifth| now > fifth + 3_000);
+            outcome.sent_late += usize::from(is_bad && !is_refused && is_late);
+            if !is_refused {
+                open.push((now, draw(SERVERS), instance, parts));
+            }
+        }
+        let crashing = open.iter().filter(|(started, _, _, parts)| parts.contains(&BAD) && now - started >= 100);
+        let lost: BTreeSet<u64> = crashing.map(|(_, server, ..)| *server).collect();
+        outcome.crashes.extend(lost.iter().map(|_| now));
+        for (started, server, instance, parts) in open.extract_if(.., |(_, server, ..)| lost.contains(server)) {
+            let crash = PartCrash { is_answered: now - started > 200, ..crash(server, "a", now) };
+            fleet[instance].record_crash(parts, &crash, at(now));
+        }
+        for (_, _, instance, parts) in open.extract_if(.., |(started, ..)| now - *started >= 2_000) {
+            fleet[instance].record_sound(parts, 1, clock(now));
+        }
+        for blame in &mut fleet {
+            if blame.take_news() || blame.has_answers() {
+                reports.push((now + 700, blame.own_reports(at(now))));
+            }
+        }
+        for (_, report) in reports.extract_if(.., |(due, _)| *due <= now) {
+            for blame in &mut fleet {
+                blame.merge(report.clone(), false, clock(now));
+            }
+        }
+    }
+    outcome
+}
+
+#[test_case(6, 2; "small")]
+#[test_case(75, 2; "medium")]
+#[test_case(295, 2; "large")]
+#[test_case(295, 20; "large with many")]
+fn crashes_end(size: usize, bad: u64) {
+    let outcome = play_fleet(size, bad);
+    let (crashes, sent_late) = (outcome.crashes.len(), outcome.sent_late);
+    println!(
+        "{size}: {crashes} crashes, {sent_late} late, {} of {} sound refused",
+        outcome.sound_refused, outcome.sound
+    );
+    assert!(sent_late <= 3, "{sent_late} requests with the bad part were sent late");
+    assert!(outcome.sound_refused * 100 <= outcome.sound, "{outcome:?}");
+}
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -23,7 +23,7 @@
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::metrics::Metrics;
-use crate::servers::ServerTable;
+use crate::servers::{ServerEntry, ServerTable};
 
 /// Monotonic clock of one instance; it follows tokio's time, which tests can pause.
 #[derive(Clone, Copy, Debug)]
@@ -277,14 +277,19 @@
 
     /// Time until this instance may send a request to a server that may have named a limit, zero if now; `None` if other
     /// instances share the limit.
-    pub fn limit_wait(&self, run: &ServerRun) -> Option<Duration> {
+    pub fn limit_wait(&self, server: &ServerEntry) -> Option<Duration> {
         let limits = self.server_limits.lock();
-        limits.wait(run, || self.limit_place(run), self.clock.now())
+        if limits.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let run = server.run();
+        limits.wait(&run, || self.limit_place(&run), self.clock.now())
     }
 
     /// Counts a request that is sent to a server against the limit that the server may have named.
-    pub fn take_limit(&self, run: &ServerRun) {
-        self.server_limits.lock().take(run, || self.limit_place(run), self.clock.now());
+    pub fn take_limit(&self, server: &ServerEntry) {
+        let run = server.run();
+        self.server_limits.lock().take(&run, || self.limit_place(&run), self.clock.now());
     }
 
     /// Number of instances that may try the formerly convicted `part` before this one.
--- a/crates/serving/src/observations.rs
+++ b/crates/serving/src/observations.rs
@@ -44,15 +44,34 @@
     ]
 }
 
-/// Writes the own observations whenever there is news; the record of an earlier run is read first, which it replaces.
-async fn write_reports(board: Arc<Blackboard>, store: Arc<dyn KeyedLog>, listed: CancellationToken) {
-    listed.cancelled().await;
+/// Time for each instance of the fleet over which reports of the same complete answers are spread, so that the first one
+/// spares the others: about what an append takes.
+const ANSWER_SPREAD: Duration = Duration::from_millis(2);
+
+/// Waits until there is something to report.
+async fn wait_for_news(board: &Blackboard) {
     loop {
         let has_part_news = board.part_blame.lock().take_news();
-        if !board.server_limits.lock().take_news() && !has_part_news {
+        if board.server_limits.lock().take_news() || has_part_news {
+            return;
+        }
+        if !board.part_blame.lock().has_answers() {
             board.observation_news.notified().await;
             continue;
         }
+        let fleet_size = u32::try_from(board.fleet_size()).unwrap_or(u32::MAX);
+        tokio::time::sleep(ANSWER_SPREAD.saturating_mul(fleet_size).mul_f64(rand::random())).await;
+        if board.part_blame.lock().has_answers() {
+            return;
+        }
+    }
+}
+
+/// Writes the own observations whenever there is news; the record of an earlier run is read first, which it replaces.
+async fn write_reports(board: Arc<Blackboard>, store: Arc<dyn KeyedLog>, listed: CancellationToken) {
+    listed.cancelled().await;
+    loop {
+        wait_for_news(&board).await;
         let now = board.clock.now();
         let parts = board.part_blame.lock().own_reports(now);
         let limits = board.server_limits.lock().own_reports(now);
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -283,7 +283,7 @@
         let is_usable = |server: &&Arc<Server>| {
             !server.is_leaving()
                 && server.pause_left().is_none()
-                && self.board.limit_wait(&server.entry.run()).is_some_and(|wait| wait.is_zero())
+                && self.board.limit_wait(&server.entry).is_some_and(|wait| wait.is_zero())
                 && !admitted.tried_servers.contains(&server.entry.name)
                 && !barred.iter().any(|(weights, ..)| *weights == server.entry.weights)
         };
@@ -309,7 +309,7 @@
         };
         let selection = choose(&request, &candidates)?;
         let server = usable[selection.index];
-        self.board.take_limit(&server.entry.run());
+        self.board.take_limit(&server.entry);
         Some((Arc::clone(server), selection))
     }
 
@@ -319,7 +319,7 @@
         let servers = self.board.servers.of_service(service);
         let wait = |server: &Arc<Server>| {
             let pause = server.pause_left().unwrap_or_default();
-            self.board.limit_wait(&server.entry.run()).map(|limit| limit.max(pause))
+            self.board.limit_wait(&server.entry).map(|limit| limit.max(pause))
         };
         let waits: Vec<Duration> = servers.iter().filter(|server| !server.is_leaving()).filter_map(wait).collect();
         waits.into_iter().min().filter(|wait| !wait.is_zero())
