Count a crash that two instances report at different times once

Found while reading, not seen. Change: crashes of one server within 3 s are one; a server that restarts under its name is back after some seconds.

--- a/crates/core/src/part_blame.rs
+++ b/crates/core/src/part_blame.rs
@@ -40,8 +40,8 @@
 /// moment have a common cause.
 const MOMENT_MS: u64 = 100;
 
-/// Milliseconds between two crashes of the same server; instances that notice the same one report it apart.
-const RESTART_MS: u64 = 1_000;
+/// Milliseconds between two crashes of the same server; instances whose clocks differ report one crash at two times.
+const RESTART_MS: u64 = 3_000;
 
 /// Maximum number of parts with crashes that are remembered.
 pub const PARTS_MAX: usize = 2_048;
