Compute an instance's place among sharers only when the fleet has grown

Cause: each request ranked all instances anew for each limited server: hundreds of hashes at 295 instances. Change: the place is kept with the limit and computed again when the number of instances changes.

--- a/crates/core/src/server_limits.rs
+++ b/crates/core/src/server_limits.rs
@@ -102,6 +102,8 @@
     /// Requests that may be sent at `refilled_at`.
     tokens: f64,
     refilled_at: Instant,
+    /// Place of this instance when it was last needed.
+    place: Option<FleetPlace>,
 }
 
 impl ServerLimit {
@@ -115,9 +117,21 @@
             is_own: false,
             tokens: 0.0,
             refilled_at: now,
+            place: None,
         }
     }
 
+    /// Share of this instance, `None` without a limit or a share; `turn` is computed anew when the fleet has grown.
+    fn share(&mut self, size: usize, turn: impl FnOnce() -> usize) -> Option<LimitShare> {
+        let limit = self.limit?;
+        let place = match self.place {
+            Some(place) if place.size == size => place,
+            _ => FleetPlace { turn: turn(), size },
+        };
+        self.place = Some(place);
+        share(limit, place)
+    }
+
     fn tokens_at(&self, share: LimitShare, now: Instant) -> f64 {
         (self.tokens + share.rate * now.since(self.refilled_at).as_secs_f64()).min(share.burst)
     }
@@ -203,20 +217,25 @@
 
     /// Time until this instance may send a request to the server, zero if now; `None` if others share its limit.
     ///
-    pub fn wait(&self, run: &ServerRun, place: impl FnOnce() -> FleetPlace, now: Instant) -> Option<Duration> {
-        let Some(known) = self.limits.get(run).filter(|known| now.since(known.heard_at) < LIMIT_TTL) else {
-            return Some(Duration::ZERO);
-        };
-        let Some(limit) = known.limit else { return Some(Duration::ZERO) };
-        let share = share(limit, place())?;
+    /// `turn` is the number of instances before this one in the server's order, of `size` in all.
+    pub fn wait(
+        &mut self,
+        run: &ServerRun,
+        size: usize,
+        turn: impl FnOnce() -> usize,
+        now: Instant,
+    ) -> Option<Duration> {
+        let is_current = |known: &&mut ServerLimit| known.limit.is_some() && now.since(known.heard_at) < LIMIT_TTL;
+        let Some(known) = self.limits.get_mut(run).filter(is_current) else { return Some(Duration::ZERO) };
+        let share = known.share(size, turn)?;
         let missing = (1.0 - known.tokens_at(share, now)).max(0.0);
         Some(Duration::from_secs_f64(missing / share.rate))
     }
 
     /// Counts a request that is sent to the server.
-    pub fn take(&mut self, run: &ServerRun, place: impl FnOnce() -> FleetPlace, now: Instant) {
+    pub fn take(&mut self, run: &ServerRun, size: usize, turn: impl FnOnce() -> usize, now: Instant) {
         let Some(known) = self.limits.get_mut(run) else { return };
-        let Some(share) = known.limit.and_then(|limit| share(limit, place())) else { return };
+        let Some(share) = known.share(size, turn) else { return };
         known.tokens = (known.tokens_at(share, now) - 1.0).max(0.0);
         known.refilled_at = now;
     }
--- a/crates/core/tests/server_limits.rs
+++ b/crates/core/tests/server_limits.rs
@@ -38,8 +38,8 @@
     FleetPlace { turn, size }
 }
 
-fn may_send(limits: &ServerLimits, at: FleetPlace, ms: u64) -> bool {
-    limits.wait(&run(), || at, clock(ms).now).is_some_and(|wait| wait.is_zero())
+fn may_send(limits: &mut ServerLimits, at: FleetPlace, ms: u64) -> bool {
+    limits.wait(&run(), at.size, || at.turn, clock(ms).now).is_some_and(|wait| wait.is_zero())
 }
 
 /// Instances that send to one server, which names `limit_at(time)` in each answer.
@@ -61,8 +61,8 @@
         for now in (0..span_ms).step_by(usize::try_from(STEP_MS).unwrap()) {
             for turn in 0..size {
                 let is_due = (random.next_u64() % 1_000_000) as f64 / 1e6 < per_second * STEP_MS as f64 / 1e3;
-                if is_due && may_send(&fleet.instances[turn], place(turn, size), now) {
-                    fleet.instances[turn].take(&run(), || place(turn, size), clock(now).now);
+                if is_due && may_send(&mut fleet.instances[turn], place(turn, size), now) {
+                    fleet.instances[turn].take(&run(), size, || turn, clock(now).now);
                     fleet.arrivals.push((now, fleet.told_at[turn].is_some_and(|at| at + TOLD_MS <= now)));
                     answers.push((now + ANSWER_MS, turn));
                 }
@@ -154,9 +154,9 @@
 fn next_run() {
     let mut limits = ServerLimits::default();
     limits.record(&run(), Some(0.0), clock(0));
-    assert!(!may_send(&limits, place(0, 6), 10));
+    assert!(!may_send(&mut limits, place(0, 6), 10));
     let next = ServerRun { started_at: Some(2), ..run() };
-    assert_eq!(limits.wait(&next, || place(0, 6), clock(10).now), Some(Duration::ZERO));
+    assert_eq!(limits.wait(&next, 6, || 0, clock(10).now), Some(Duration::ZERO));
 }
 
 /// Reports may arrive in any order and more than once.
@@ -169,7 +169,7 @@
         for at in order.into_iter().chain(order) {
             limits.merge(vec![reports[at].clone()], clock(3_000));
         }
-        assert!(may_send(&limits, place(9, 10), 3_000), "the newest report lifts the limit, order {order:?}");
+        assert!(may_send(&mut limits, place(9, 10), 3_000), "the newest report lifts the limit, order {order:?}");
     }
 }
 
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -12,7 +12,7 @@
 use coltsfootpick_core::retry::{RetryBudget, RetryRatio};
 use coltsfootpick_core::routes::RouteTable;
 use coltsfootpick_core::selection::Location;
-use coltsfootpick_core::server_limits::{FleetPlace, ServerLimits, ServerRun};
+use coltsfootpick_core::server_limits::{ServerLimits, ServerRun};
 use coltsfootpick_core::units::Instant;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
@@ -267,29 +267,31 @@
         self.fleet.read().lenders().to_vec()
     }
 
-    /// Place of this instance among those that share the limit of a server.
-    fn limit_place(&self, run: &ServerRun) -> FleetPlace {
-        let fleet = self.fleet.read();
-        let size = if self.fleet_listed.is_cancelled() { fleet.len() } else { self.fleet_size() };
-        let turn = fleet.turn(&self.instance.name, xxh3_64(run.name.as_bytes()));
-        FleetPlace { turn: turn as usize, size }
+    /// Number of instances before this one among those that share the limit of a server.
+    fn limit_turn(&self, run: &ServerRun) -> usize {
+        self.fleet.read().turn(&self.instance.name, xxh3_64(run.name.as_bytes())) as usize
+    }
+
+    /// Number of instances that may share the limit of a server.
+    fn sharers_max(&self) -> usize {
+        if self.fleet_listed.is_cancelled() { self.fleet.read().len() } else { self.fleet_size() }
     }
 
     /// Time until this instance may send a request to a server that may have named a limit, zero if now; `None` if other
     /// instances share the limit.
     pub fn limit_wait(&self, server: &ServerEntry) -> Option<Duration> {
-        let limits = self.server_limits.lock();
+        let mut limits = self.server_limits.lock();
         if limits.is_empty() {
             return Some(Duration::ZERO);
         }
         let run = server.run();
-        limits.wait(&run, || self.limit_place(&run), self.clock.now())
+        limits.wait(&run, self.sharers_max(), || self.limit_turn(&run), self.clock.now())
     }
 
     /// Counts a request that is sent to a server against the limit that the server may have named.
     pub fn take_limit(&self, server: &ServerEntry) {
         let run = server.run();
-        self.server_limits.lock().take(&run, || self.limit_place(&run), self.clock.now());
+        self.server_limits.lock().take(&run, self.sharers_max(), || self.limit_turn(&run), self.clock.now());
     }
 
     /// Number of instances that may try the formerly convicted `part` before this one.
