Put the constants of observations together

Cause: one stood between two functions, found while reading the diff. Change: moved, no change of behaviour.

--- a/crates/serving/src/observations.rs
+++ b/crates/serving/src/observations.rs
@@ -30,6 +30,10 @@
 /// Pause before a failed write is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time for each instance of the fleet over which reports of the same complete answers are spread, so that the first one
+/// spares the others: about what an append takes.
+const ANSWER_SPREAD: Duration = Duration::from_millis(2);
+
 /// Starts the tasks that read and write observations, until `stop` is cancelled.
 pub fn start(board: &Arc<Blackboard>, store: &Arc<dyn KeyedLog>, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
     let listed = CancellationToken::new();
@@ -44,10 +48,6 @@
     ]
 }
 
-/// Time for each instance of the fleet over which reports of the same complete answers are spread, so that the first one
-/// spares the others: about what an append takes.
-const ANSWER_SPREAD: Duration = Duration::from_millis(2);
-
 /// Waits until there is something to report.
 async fn wait_for_news(board: &Blackboard) {
     loop {
