Measure the memory of endless answers without that of other tests

On eight processors total_limit, whose bodies hold 24 to 28 MiB, started when one of the first eight tests had ended, at times at the peak: of 12 runs of the file three reached 60 to 72 MiB, without total_limit none of 12 passed 51; alone bodies take 36 to 38 MiB and events 12 to 14. The instance is within the bound, which leaves 45 of the 88 MiB of the smallest one. Change: the test has a file of its own, its cases run one after another and count from before the first, so what the first leaves counts too; bound and load stay. The scripts went to the test kit.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod budget_schemes;
 pub mod budget_simulation;
 pub mod caller;
+pub mod endless_answers;
 pub mod engine;
 pub mod keyed_store;
 pub mod ledger_simulation;
