Split the evidence about one part from the table of all parts

Change: part_evidence.rs holds crashes, status and verdict of one part, units.rs the clock reading; note_end is called note_answer_end. Moves and names only.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod names;
 pub mod ownership;
 pub mod part_blame;
+pub mod part_evidence;
 pub mod placement;
 pub mod prefixes;
 pub mod quarantine;
--- a/crates/core/src/part_blame.rs
+++ b/crates/core/src/part_blame.rs
@@ -7,28 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
-use derive_more::Display;
-
 use crate::names::{BackendServerName, ClientAccountName};
-use crate::units::Instant;
-
-/// Number of crashes of unanswered requests that convict a part.
-pub const UNANSWERED_CRASHES: usize = 3;
-
-/// Number of crashes that convict a part if some of the requests had received events.
-pub const CRASHES: usize = 5;
-
-/// Time after its last crash for which a part is remembered.
-pub const EVIDENCE_TTL: Duration = Duration::from_secs(3_600);
-
-/// Time for which the first conviction of a part lasts; it doubles with each further crash.
-pub const CONVICTION_MIN: Duration = Duration::from_secs(120);
-
-/// Longest time for which a conviction lasts.
-pub const CONVICTION_MAX: Duration = Duration::from_secs(3_600);
-
-/// Time between the trials of a formerly convicted part by one instance and by the next.
-pub const TRIAL_INTERVAL: Duration = Duration::from_secs(30);
+use crate::part_evidence::{EVIDENCE_TTL, PartCrash, PartRecord, PartReport, PartStatus, PartUse};
+use crate::units::{ClockReading, Instant};
 
 /// Time after a complete answer in which a crash does not count against the parts of the request.
 pub const SOUND_TIME: Duration = Duration::from_secs(30);
@@ -36,65 +17,15 @@
 /// Time for which an instance remembers that it saw a complete answer.
 const SOUND_TTL: Duration = Duration::from_secs(600);
 
-/// Milliseconds between crashes of different servers that count as separate ones; servers that are lost at the same
-/// moment have a common cause.
-const MOMENT_MS: u64 = 100;
-
-/// Milliseconds between two crashes of the same server; instances whose clocks differ report one crash at two times.
-const RESTART_MS: u64 = 3_000;
-
 /// Maximum number of parts with crashes that are remembered.
 pub const PARTS_MAX: usize = 2_048;
 
-/// Maximum number of crashes remembered of a part.
-const CRASHES_MAX: usize = 16;
-
 /// Maximum number of parts in one record, those with the newest evidence first.
 pub const REPORTS_MAX: usize = 64;
 
 /// Maximum number of complete answers remembered; up to twice as many are kept.
 const SOUND_MAX: usize = 8_192;
 
-/// Loss of a server while a request with the part was open there.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct PartCrash {
-    /// Time of day in milliseconds since the Unix epoch.
-    pub at: u64,
-    /// Server that was lost.
-    pub server: BackendServerName,
-    /// Client account of the request.
-    pub account: ClientAccountName,
-    /// Version of the weights on the server.
-    pub weights: u64,
-    /// Whether the request had received events.
-    pub is_answered: bool,
-}
-
-/// What one instance reports of a part; merging it is idempotent and independent of the order.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PartReport {
-    /// Id of the part.
-    pub part: u64,
-    /// Crashes while requests with the part were open.
-    pub crashes: BTreeSet<PartCrash>,
-    /// Time of day of the last complete answer in milliseconds, by the version of the weights that gave it.
-    pub sound: BTreeMap<u64, u64>,
-}
-
-/// Whether requests with a part may run.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum PartStatus {
-    /// Requests with the part may run.
-    #[display("clear")]
-    Clear,
-    /// Requests with the part may run one at a time.
-    #[display("suspect")]
-    Suspect,
-    /// Requests with the part must not run for this time.
-    #[display("convicted")]
-    Convicted(Duration),
-}
-
 /// Change of a part's status, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PartChange {
@@ -106,113 +37,6 @@
     pub servers: Vec<BackendServerName>,
 }
 
-/// Monotonic time and time of day, read at the same moment.
-#[derive(Clone, Copy, Debug)]
-pub struct ClockReading {
-    /// Monotonic time.
-    pub now: Instant,
-    /// Milliseconds since the Unix epoch.
-    pub unix: u64,
-}
-
-/// Request of a client account, as far as it matters for the status of a part.
-#[derive(Clone, Copy, Debug)]
-pub struct PartUse<'a> {
-    /// Client account of the request.
-    pub account: &'a ClientAccountName,
-    /// Version of the weights on which it would run.
-    pub weights: u64,
-    /// Number of instances that may try a formerly convicted part before this one.
-    pub turn: u32,
-}
-
-#[derive(Clone, Debug, Default)]
-struct PartRecord {
-    report: PartReport,
-    /// When the last crash happened.
-    crashed_at: Instant,
-    /// Whether this instance contributed to the evidence and so reports it.
-    is_own: bool,
-}
-
-impl PartRecord {
-    /// Crashes that no later complete answer on the same weights refutes.
-    fn counted(&self) -> impl Iterator<Item = &PartCrash> {
-        let is_refuted =
-            |crash: &PartCrash| self.report.sound.get(&crash.weights).is_some_and(|answered| *answered >= crash.at);
-        self.report.crashes.iter().filter(move |crash| !is_refuted(crash))
-    }
-
-    /// Counted crashes that bear on `account`: those of its own requests, or all if several accounts met them, so that
-    /// no account can have a part of another one convicted.
-    fn bearing_on(&self, account: &ClientAccountName) -> Vec<&PartCrash> {
-        let accounts: BTreeSet<_> = self.counted().map(|crash| &crash.account).collect();
-        self.counted().filter(|crash| accounts.len() > 1 || crash.account == *account).collect()
-    }
-
-    fn status(&self, request: &PartUse<'_>, now: Instant) -> PartStatus {
-        let crashes = self.bearing_on(request.account);
-        let is_read_well = self.report.sound.contains_key(&request.weights)
-            && crashes.iter().all(|crash| crash.weights != request.weights);
-        let total = separate_crashes(crashes.iter().copied());
-        let unanswered = separate_crashes(crashes.iter().copied().filter(|crash| !crash.is_answered));
-        let is_convicted = unanswered >= UNANSWERED_CRASHES || total >= CRASHES;
-        let doublings = u32::try_from(total.saturating_sub(UNANSWERED_CRASHES)).unwrap_or(u32::MAX).min(8);
-        let conviction = CONVICTION_MIN.saturating_mul(1 << doublings).min(CONVICTION_MAX);
-        let until = self.crashed_at.after(conviction + TRIAL_INTERVAL.saturating_mul(request.turn));
-        match total {
-            0 => PartStatus::Clear,
-            _ if is_read_well || self.has_expired(now) => PartStatus::Clear,
-            _ if is_convicted && now < until => PartStatus::Convicted(until.since(now)),
-            _ => PartStatus::Suspect,
-        }
-    }
-
-    fn has_expired(&self, now: Instant) -> bool {
-        now.since(self.crashed_at) >= EVIDENCE_TTL
-    }
-
-    fn first_account(&self) -> Option<&ClientAccountName> {
-        self.report.crashes.first().map(|crash| &crash.account)
-    }
-
-    /// Adds a crash that happened at `crashed_at`, and returns whether it is new.
-    fn add_crash(&mut self, crash: PartCrash, crashed_at: Instant) -> bool {
-        if !self.report.crashes.insert(crash) {
-            return false;
-        }
-        self.crashed_at = self.crashed_at.max(crashed_at);
-        if self.report.crashes.len() > CRASHES_MAX {
-            self.report.crashes.pop_first();
-        }
-        true
-    }
-
-    /// Records a complete answer at `unix`, and returns whether it is news to a part that stands accused.
-    fn add_sound(&mut self, weights: u64, unix: u64) -> bool {
-        let is_news = self.counted().next().is_some() && self.report.sound.get(&weights).is_none_or(|at| *at < unix);
-        if is_news {
-            self.report.sound.insert(weights, unix);
-        }
-        is_news
-    }
-}
-
-/// Counts crashes, of which those at the same moment are one.
-fn separate_crashes<'a>(crashes: impl Iterator<Item = &'a PartCrash>) -> usize {
-    let mut counted: Vec<&PartCrash> = Vec::new();
-    for crash in crashes {
-        let is_same = |other: &&PartCrash| {
-            let gap = if other.server == crash.server { RESTART_MS } else { MOMENT_MS };
-            crash.at.abs_diff(other.at) < gap
-        };
-        if !counted.iter().any(is_same) {
-            counted.push(crash);
-        }
-    }
-    counted.len()
-}
-
 /// Complete answers by part and weights, in two generations of which the older one is dropped when the newer is full.
 #[derive(Debug, Default)]
 struct SoundAnswers {
@@ -382,7 +206,7 @@
 
     /// Number of parts that are convicted for at least one client account.
     pub fn convicted_count(&self, now: Instant) -> usize {
-        self.records.values().filter(|record| is_convicted(record, now)).count()
+        self.records.values().filter(|record| record.is_convicted(now)).count()
     }
 
     fn change(&self, part: u64, now: Instant) -> Option<PartChange> {
@@ -409,15 +233,9 @@
         }
         let largest = counts.into_iter().max_by_key(|(_, count)| *count).and_then(|(account, _)| account);
         let of_largest = self.records.iter().filter(|(_, record)| record.first_account() == largest);
-        let evicted = of_largest.min_by_key(|(_, record)| (is_convicted(record, now), record.crashed_at));
+        let evicted = of_largest.min_by_key(|(_, record)| (record.is_convicted(now), record.crashed_at));
         if let Some(evicted) = evicted.map(|(part, _)| *part) {
             self.records.remove(&evicted);
         }
     }
 }
-
-fn is_convicted(record: &PartRecord, now: Instant) -> bool {
-    let uses =
-        record.report.crashes.iter().map(|crash| PartUse { account: &crash.account, weights: crash.weights, turn: 0 });
-    uses.into_iter().any(|request| matches!(record.status(&request, now), PartStatus::Convicted(_)))
-}
--- a/crates/core/src/server_limits.rs
+++ b/crates/core/src/server_limits.rs
@@ -8,8 +8,7 @@
 use std::time::Duration;
 
 use crate::names::BackendServerName;
-use crate::part_blame::ClockReading;
-use crate::units::Instant;
+use crate::units::{ClockReading, Instant};
 
 /// Instances that share a limit in addition to two for each request a second.
 const SHARERS_MIN: usize = 4;
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -97,3 +97,12 @@
         Self(self.0.saturating_sub(span))
     }
 }
+
+/// Monotonic time and time of day, read at the same moment.
+#[derive(Clone, Copy, Debug)]
+pub struct ClockReading {
+    /// Monotonic time.
+    pub now: Instant,
+    /// Milliseconds since the Unix epoch.
+    pub unix: u64,
+}
--- a/crates/core/tests/part_blame.rs
+++ b/crates/core/tests/part_blame.rs
@@ -5,10 +5,9 @@
 
 use coltsfootpick_core::lenders::{Fleet, FleetMember};
 use coltsfootpick_core::names::ClientAccountName;
-use coltsfootpick_core::part_blame::{
-    CONVICTION_MIN, ClockReading, PARTS_MAX, PartBlame, PartCrash, PartStatus, PartUse, TRIAL_INTERVAL,
-};
-use coltsfootpick_core::units::Instant;
+use coltsfootpick_core::part_blame::{PARTS_MAX, PartBlame};
+use coltsfootpick_core::part_evidence::{CONVICTION_MIN, PartCrash, PartStatus, PartUse, TRIAL_INTERVAL};
+use coltsfootpick_core::units::{ClockReading, Instant};
 use rand_chacha::ChaCha12Rng;
 use rand_core::{Rng, SeedableRng};
 use test_case::test_case;
--- a/crates/core/tests/server_limits.rs
+++ b/crates/core/tests/server_limits.rs
@@ -4,9 +4,8 @@
 
 use std::time::Duration;
 
-use coltsfootpick_core::part_blame::ClockReading;
 use coltsfootpick_core::server_limits::{FleetPlace, LimitReport, PROBE_INTERVAL, ServerLimits, ServerRun, share};
-use coltsfootpick_core::units::Instant;
+use coltsfootpick_core::units::{ClockReading, Instant};
 use rand_chacha::ChaCha12Rng;
 use rand_core::{Rng, SeedableRng};
 use test_case::{test_case, test_matrix};
--- a/crates/serving/src/crash_detection.rs
+++ b/crates/serving/src/crash_detection.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use coltsfootpick_core::names::{BudgetKey, ClientAccountName, EnvironmentName, ServiceName, Stage};
-use coltsfootpick_core::part_blame::{PartChange, PartCrash, PartStatus, PartUse};
+use coltsfootpick_core::part_blame::PartChange;
+use coltsfootpick_core::part_evidence::{PartCrash, PartStatus, PartUse};
 use coltsfootpick_core::quarantine::{Fingerprint, Loss, QuarantineStatus};
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::selection::Generation;
@@ -151,7 +152,13 @@
 ///
 /// The end of an answer without length or chunks is that of its connection, which a crash ends as well; there the server
 /// must still be alive.
-pub fn note_end(board: &Arc<Blackboard>, admitted: &AdmittedRequest, server: &Arc<Server>, head: &Parts, events: u64) {
+pub fn note_answer_end(
+    board: &Arc<Blackboard>,
+    admitted: &AdmittedRequest,
+    server: &Arc<Server>,
+    head: &Parts,
+    events: u64,
+) {
     let (parts, weights) = (admitted.shared_parts(), server.entry.weights);
     if parts.is_empty() {
         return;
--- a/crates/serving/src/observations.rs
+++ b/crates/serving/src/observations.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::part_blame::PartReport;
+use coltsfootpick_core::part_evidence::PartReport;
 use coltsfootpick_core::server_limits::LimitReport;
 use coltsfootpick_wire::observations::ObservationMessage;
 use prost::Message;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -39,7 +39,7 @@
                 note_response(&server, &head, guard.elapsed());
                 handler.board.quarantine.lock().record_completion(admitted.fingerprint, handler.board.clock.now());
                 if head.status.is_success() {
-                    crash_detection::note_end(&handler.board, &admitted, &server, &head, 0);
+                    crash_detection::note_answer_end(&handler.board, &admitted, &server, &head, 0);
                 }
                 let may_continue = head.status.is_server_error() && admitted.may_repeat();
                 if !may_continue || !handler.board.take_retry(&admitted.service) {
@@ -205,7 +205,7 @@
         note_response(&server, &response.head, guard.elapsed());
         let board = &self.handler.board;
         board.quarantine.lock().record_completion(self.admitted.fingerprint, board.clock.now());
-        crash_detection::note_end(board, &self.admitted, &server, &response.head, self.splitter.events());
+        crash_detection::note_answer_end(board, &self.admitted, &server, &response.head, self.splitter.events());
         let used = self.admitted.reservation.as_ref().map_or(Tokens::ZERO, CreditReservation::used);
         log_event!(
             LogEvent::Answered,
--- a/crates/wire/src/observations.rs
+++ b/crates/wire/src/observations.rs
@@ -1,6 +1,6 @@
 //! Encoded record of what an instance observed of backend servers; the store keeps the newest record of each instance.
 
-use coltsfootpick_core::part_blame::{PartCrash, PartReport};
+use coltsfootpick_core::part_evidence::{PartCrash, PartReport};
 use coltsfootpick_core::server_limits::{LimitReport, ServerRun};
 use prost::Message;
 
