Test evidence through outages and older copies, and two bad parts at once

Result: all pass; without writing again after a failed write told_after_outage fails (3 requests sent of 0), without writing again after an older copy told_after_older_copy fails (1 of 0).

--- a/crates/core/tests/part_blame.rs
+++ b/crates/core/tests/part_blame.rs
@@ -83,6 +83,19 @@
     assert_eq!(status(&blame, BAD, "a", 4_000), PartStatus::Clear, "a part that was just answered is not accused");
 }
 
+/// Each of two bad parts is convicted by its own crashes; a sound part that came with both is cleared by one answer.
+#[test]
+fn two_bad_parts() {
+    let mut blame = PartBlame::default();
+    for number in 0..6 {
+        let bad = BAD + number % 2;
+        blame.record_crash([1, bad], &crash(number, "a", number * 1_000), at(number * 1_000));
+    }
+    blame.record_sound([1], 1, clock(6_000));
+    let convicted = [1, BAD, BAD + 1].map(|part| is_convicted(&blame, part, "a", 6_000));
+    assert_eq!(convicted, [false, true, true]);
+}
+
 /// Other weights may read a part well; an answer of theirs says nothing of the ones that crashed.
 #[test]
 fn other_weights() {
--- a/crates/serving/tests/crashing_parts.rs
+++ b/crates/serving/tests/crashing_parts.rs
@@ -8,7 +8,7 @@
 use coltsfootpick_core::units::Tokens;
 use coltsfootpick_serving::outcome::{RequestOutcome, ResponseBody};
 use coltsfootpick_serving::request::CallerRequest;
-use coltsfootpick_testkit::keyed_store::KeyedStore;
+use coltsfootpick_testkit::keyed_store::{KeyedStore, StoreFault};
 use coltsfootpick_testkit::request_harness::{RequestHarness, request, server_entry};
 use coltsfootpick_testkit::scripted_server::{ScriptedServer, ServerAction, chunk, chunked_head, event};
 use futures_util::StreamExt;
@@ -61,6 +61,7 @@
 }
 
 struct CrashingFleet {
+    store: KeyedStore,
     instances: Vec<RequestHarness>,
     crashes: usize,
 }
@@ -73,7 +74,7 @@
         for instance in &instances {
             instance.wait_for_credit().await;
         }
-        Self { instances: instances.into(), crashes: 0 }
+        Self { store, instances: instances.into(), crashes: 0 }
     }
 
     /// Replaces the servers of all instances by one.
@@ -98,6 +99,14 @@
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
 
+    /// Number of requests with the bad part that reach a server, of one at each instance.
+    async fn sent(&self) -> usize {
+        let sound = sound_server().await;
+        self.use_server("sound again", &sound);
+        self.served(&[COMMON, BAD], 1).await;
+        sound.recorded().requests.len()
+    }
+
     /// Sends `count` requests with `shared` parts to each instance, and returns how many were served.
     async fn served(&self, shared: &[u64], count: usize) -> usize {
         let mut served = 0;
@@ -126,6 +135,37 @@
     let sound = sound_server().await;
     fleet.use_server("sound again", &sound);
     fleet.served(&[COMMON, BAD], 2).await;
-    assert!(sound.recorded().requests.len() <= 3, "{} requests reached servers", sound.recorded().requests.len());
+    let sent = sound.recorded().requests.len();
+    assert!(sent <= 3, "{sent} requests reached servers");
     assert_eq!(fleet.served(&[COMMON], 5).await, 15, "sound requests share the first part");
 }
+
+/// While the store is away, what an instance saw stays there; it is told once the store is back.
+#[tokio::test]
+async fn told_after_outage() {
+    let mut fleet = CrashingFleet::start().await;
+    fleet.store.set_fault(StoreFault::Silent);
+    for _ in 0..3 {
+        fleet.crash(&[COMMON, BAD], HEAD).await;
+    }
+    fleet.store.set_fault(StoreFault::None);
+    tokio::time::sleep(STABLE_WINDOW).await;
+    assert_eq!(fleet.sent().await, 0);
+}
+
+/// A store that comes back from an older copy is told again, so that an instance that starts later knows.
+#[tokio::test]
+async fn told_after_older_copy() {
+    let mut fleet = CrashingFleet::start().await;
+    let started = std::time::Instant::now();
+    for _ in 0..3 {
+        fleet.crash(&[COMMON, BAD], HEAD).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.store.restore_copy(started.elapsed());
+    tokio::time::sleep(STABLE_WINDOW).await;
+    let next = RequestHarness::start("edge-d", &fleet.store, &[]);
+    next.wait_for_credit().await;
+    fleet.instances = vec![next];
+    assert_eq!(fleet.sent().await, 0);
+}
