Report only the evidence that has changed, and convictions

Suspected: each crash made dozens of instances write all their evidence, 64 parts with all crashes, which all 295 read beside the documents. Change: a record holds the parts whose evidence has changed since the last one, and those it convicts.

--- a/crates/core/src/part_blame.rs
+++ b/crates/core/src/part_blame.rs
@@ -66,6 +66,8 @@
     /// Parts of which a request runs on trial at this instance.
     trials: HashSet<u64>,
     has_news: bool,
+    /// Parts whose own evidence has changed since it was reported.
+    unreported: BTreeSet<u64>,
     /// Accused parts that this instance can clear by a complete answer of its own, which others may do first.
     answers: BTreeSet<u64>,
 }
@@ -112,6 +114,7 @@
             let Some(record) = self.records.get_mut(&part) else { continue };
             if record.add_sound(weights, clock.unix) {
                 record.is_own = true;
+                self.unreported.insert(part);
                 self.answers.insert(part);
                 changes.extend(self.change(part, clock.now));
             }
@@ -136,6 +139,7 @@
             record.report.part = part;
             record.is_own = true;
             record.add_crash(crash.clone(), now);
+            self.unreported.insert(part);
             self.has_news = true;
             changes.extend(self.change(part, now));
         }
@@ -163,6 +167,7 @@
                 let sound_age = self.sound.age(report.part, weights, clock.now);
                 if sound_age.is_some_and(|age| age < SOUND_TIME) && record.add_sound(weights, clock.unix) {
                     record.is_own = true;
+                    self.unreported.insert(report.part);
                     self.answers.insert(report.part);
                 }
             }
@@ -180,7 +185,8 @@
     }
 
     /// Has the own evidence reported again, since the reports were lost.
-    pub const fn repeat_reports(&mut self) {
+    pub fn repeat_reports(&mut self) {
+        self.unreported.extend(self.records.iter().filter(|(_, record)| record.is_own).map(|(part, _)| *part));
         self.has_news = true;
     }
 
@@ -194,11 +200,19 @@
         !self.answers.is_empty()
     }
 
-    /// Reports of the parts to whose evidence this instance contributed, at most `REPORTS_MAX`, the newest ones.
+    /// Reports of the own evidence that has changed since the last call, and of the parts that it convicts, at most
+    /// `REPORTS_MAX`, the newest ones.
+    ///
+    /// Hundreds of instances read each report, so what they know already is left out; an instance that has just started
+    /// finds the convicted parts in the newest records.
     pub fn own_reports(&mut self, now: Instant) -> Vec<PartReport> {
         self.answers.clear();
-        let is_current = |record: &&PartRecord| record.is_own && !record.has_expired(now);
-        let mut own: Vec<&PartRecord> = self.records.values().filter(is_current).collect();
+        let unreported = std::mem::take(&mut self.unreported);
+        let is_due = |record: &&PartRecord| {
+            let is_needed = unreported.contains(&record.report.part) || record.is_convicted(now);
+            record.is_own && is_needed && !record.has_expired(now)
+        };
+        let mut own: Vec<&PartRecord> = self.records.values().filter(is_due).collect();
         own.sort_by_key(|record| std::cmp::Reverse(record.crashed_at));
         own.truncate(REPORTS_MAX);
         own.into_iter().map(|record| record.report.clone()).collect()
