--- a/crates/serving/src/admitted_request.rs
+++ b/crates/serving/src/admitted_request.rs
@@ -12,6 +12,8 @@
 
 use crate::crash_detection::PartTrial;
 use crate::credit_controller::CreditReservation;
+use crate::log_event;
+use crate::log_events::LogEvent;
 use crate::request::CallerRequest;
 
 /// Events charged beyond those read from an open stream: the server may have sent them before it notices a disconnect.
@@ -60,6 +62,24 @@
     pub dispatches: u32,
     /// Whether the request may have run on a server.
     pub maybe_run: bool,
+    /// Whether the generation was answered whole.
+    pub is_whole: bool,
+}
+
+impl Drop for AdmittedRequest {
+    fn drop(&mut self) {
+        let Some(reservation) = self.reservation.as_ref().filter(|_| !self.is_whole) else { return };
+        let (bound, used) = (reservation.bound(), reservation.used());
+        if !used.is_zero() {
+            log_event!(
+                LogEvent::PartialCharge,
+                "request={} account={} bound={bound} used={used} sends={}",
+                self.request.id,
+                self.account_name(),
+                self.dispatches
+            );
+        }
+    }
 }
 
 impl AdmittedRequest {
@@ -80,6 +100,7 @@
 
     /// Sets the tokens charged for the request: an upper bound of what it can have used so far.
     pub fn update_usage(&mut self, progress: GenerationProgress) {
+        self.is_whole = matches!(progress, GenerationProgress::Complete(_));
         let generation = self.request.generation.as_ref();
         let (Some(reservation), Some(generation)) = (&mut self.reservation, generation) else { return };
         let events = |count: u64| generation.prompt + Tokens(count.saturating_mul(self.event_tokens));
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -331,14 +331,26 @@
         self.with_retry_budget(service, RetryBudget::record_first_attempt);
     }
 
-    /// Takes one retry from the budget of `service`; false if none is left.
-    pub fn take_retry(&self, service: &ServiceName) -> bool {
-        self.with_retry_budget(service, RetryBudget::spend_retry)
+    /// Takes one retry of the request `id` from the budget of `service`; false if none is left.
+    pub fn take_retry(&self, service: &ServiceName, id: &str) -> bool {
+        let is_taken = self.with_retry_budget(service, RetryBudget::spend_retry);
+        if !is_taken {
+            log_event!(LogEvent::RetryDenied, "request={id} service={service}");
+        }
+        is_taken
     }
 
     fn with_retry_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.retry_budgets.lock();
-        let share = || retry_share(self.instance.retries, self.fleet_size());
+        let share = || {
+            let (fleet, share) = (self.fleet_size(), retry_share(self.instance.retries, self.fleet_size()));
+            let RetryRatio { first_attempts, burst } = share;
+            log_event!(
+                LogEvent::RetryShareSet,
+                "service={service} fleet={fleet} first_attempts={first_attempts} burst={burst}"
+            );
+            share
+        };
         act(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(share())))
     }
 }
--- a/crates/serving/src/credit_controller.rs
+++ b/crates/serving/src/credit_controller.rs
@@ -47,6 +47,11 @@
         self.used = used;
     }
 
+    /// Number of tokens reserved.
+    pub const fn bound(&self) -> Tokens {
+        self.bound
+    }
+
     /// Number of tokens that the request has used so far.
     pub const fn used(&self) -> Tokens {
         self.used
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -61,6 +61,10 @@
     StreamAborted,
     /// The network link became full, or has capacity again.
     LinkChanged,
+    /// A request was not repeated, since the service's retry budget is used up.
+    RetryDenied,
+    /// The share of this instance in a service's retry budget was computed.
+    RetryShareSet,
     /// Credit ceilings were written.
     CeilingsWritten,
     /// A write of credit ceilings has an unknown outcome.
@@ -75,6 +79,8 @@
     CeilingRaiseReduced,
     /// The store rejected a write as out of sequence.
     WriteOutOfSequence,
+    /// A request that was not answered whole was charged.
+    PartialCharge,
     /// A request is suspected of crashing backend servers.
     Suspected,
     /// A prompt part is blamed for the crash of a backend server.
@@ -120,6 +126,8 @@
         Self::CallerDisconnected,
         Self::StreamAborted,
         Self::LinkChanged,
+        Self::RetryDenied,
+        Self::RetryShareSet,
         Self::CeilingsWritten,
         Self::CeilingsUncertain,
         Self::CreditLent,
@@ -127,6 +135,7 @@
         Self::RunClosed,
         Self::CeilingRaiseReduced,
         Self::WriteOutOfSequence,
+        Self::PartialCharge,
         Self::Suspected,
         Self::PartBlamed,
         Self::PartCleared,
@@ -166,6 +175,8 @@
             Self::CallerDisconnected => "CP1305",
             Self::StreamAborted => "CP1306",
             Self::LinkChanged => "CP1307",
+            Self::RetryDenied => "CP1308",
+            Self::RetryShareSet => "CP1309",
             Self::CeilingsWritten => "CP1400",
             Self::CeilingsUncertain => "CP1401",
             Self::CreditLent => "CP1403",
@@ -173,6 +184,7 @@
             Self::RunClosed => "CP1405",
             Self::CeilingRaiseReduced => "CP1406",
             Self::WriteOutOfSequence => "CP1407",
+            Self::PartialCharge => "CP1408",
             Self::Suspected => "CP1500",
             Self::PartBlamed => "CP1501",
             Self::PartCleared => "CP1502",
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -42,7 +42,7 @@
                     crash_detection::note_answer_end(&handler.board, &admitted, &server, &head, 0);
                 }
                 let may_continue = head.status.is_server_error() && admitted.may_repeat();
-                if !may_continue || !handler.board.take_retry(&admitted.service) {
+                if !may_continue || !handler.board.take_retry(&admitted.service, &admitted.request.id) {
                     return open_request.relay_response(&server, head, ResponseBody::Buffered(body));
                 }
                 DispatchError::Unknown(format!("status {}", head.status.as_u16()))
@@ -51,7 +51,7 @@
                 let probe = handler.note_dispatch_error(&admitted, &server, &error, 0);
                 let may_repeat = error != DispatchError::DeadlinePassed && admitted.may_repeat();
                 let may_continue = may_repeat && !has_crashed(probe).await;
-                if !may_continue || !handler.board.take_retry(&admitted.service) {
+                if !may_continue || !handler.board.take_retry(&admitted.service, &admitted.request.id) {
                     return open_request.refuse(handler.final_refusal(&admitted, &error.to_string()));
                 }
                 error
@@ -172,7 +172,10 @@
     /// Resumes the stream at another server after the last complete event, if the route allows it.
     async fn resume(&mut self) -> bool {
         let is_resumable = self.admitted.route.repeat == RepeatPolicy::Resumable;
-        if !is_resumable || !self.admitted.may_repeat() || !self.handler.board.take_retry(&self.admitted.service) {
+        if !is_resumable
+            || !self.admitted.may_repeat()
+            || !self.handler.board.take_retry(&self.admitted.service, &self.admitted.request.id)
+        {
             return false;
         }
         self.splitter.discard_partial();
@@ -209,9 +212,10 @@
         let used = self.admitted.reservation.as_ref().map_or(Tokens::ZERO, CreditReservation::used);
         log_event!(
             LogEvent::Answered,
-            "request={} server={} status={} events={} used={used} ms={}",
+            "request={} server={} account={} status={} events={} used={used} ms={}",
             self.open_request.id(),
             server.entry.name,
+            self.admitted.account_name(),
             response.head.status.as_u16(),
             self.splitter.events(),
             self.open_request.millis()
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -141,7 +141,7 @@
         let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
         let event_tokens = engines.map_or(EVENT_TOKENS_DEFAULT, |spec| spec.event_tokens);
         let tried_servers = Vec::new();
-        let (dispatches, maybe_run) = (0, false);
+        let (dispatches, maybe_run, is_whole) = (0, false, false);
         Ok(AdmittedRequest {
             request,
             route,
@@ -155,6 +155,7 @@
             trial,
             dispatches,
             maybe_run,
+            is_whole,
         })
     }
 
@@ -209,7 +210,7 @@
                 DispatchError::Unknown(_) => admitted.may_repeat() && !has_crashed(probe).await,
             };
             let is_repeat = admitted.dispatches > 0;
-            if !may_continue || (is_repeat && !self.board.take_retry(&admitted.service)) {
+            if !may_continue || (is_repeat && !self.board.take_retry(&admitted.service, &admitted.request.id)) {
                 return Err(self.final_refusal(admitted, &error.to_string()));
             }
         }
