--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -40,6 +40,8 @@
     pub arrivals: Vec<tokio::time::Instant>,
     /// Number of connections that the client closed.
     pub closed: usize,
+    /// Number of server-sent events written.
+    pub events: u64,
 }
 
 /// Fake backend server that answers from its script.
@@ -137,6 +139,7 @@
                         recorded.lock().closed += 1;
                         return;
                     }
+                    recorded.lock().events += text.matches("\n\n").count() as u64;
                 }
                 ServerAction::WriteForever(text) => {
                     let block = text.repeat(ENDLESS_BLOCK_BYTES.div_ceil(text.len().max(1)));
