Compute the share of the retry limit for the known fleet, also below one retry

Callers saw: nothing; servers got repeats by the hundred beyond the limit after restarts and at the first use of a service. Cause: an instance computed its share once, at the first request for a service, for six instances unless it had read the fleet list by then, and never less than one retry. Class: a part of a sum computed from a count that is not known yet, and rounded up. Change: retry_share.rs computes the share for the fleet as known now, nothing while it is unknown, and begins with a fraction. Evidence: fleet_retries::shares_sum_up failed before with 1,125 repeats of 75 instances (205 allowed), 15,340 of 295 (689) and 420 of 420 (274). It passes now, 6 of 6; serving's other tests pass.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -75,6 +75,17 @@
         Self { ratio, balance: ratio.capacity(), failed: BTreeMap::new() }
     }
 
+    /// Creates a budget that the fleet's limit still allows to an instance: `balance` first attempts count as made.
+    pub fn with_balance(ratio: RetryRatio, balance: u32) -> Self {
+        Self { balance: balance.min(ratio.capacity()), ..Self::new(ratio) }
+    }
+
+    /// Changes the ratio; retries that it does not allow to accumulate are forgotten.
+    pub fn set_ratio(&mut self, ratio: RetryRatio) {
+        self.ratio = ratio;
+        self.balance = self.balance.min(ratio.capacity());
+    }
+
     /// Admits a caller's request; one that is repeated before the end of its back-off spends a retry of the budget.
     ///
     /// # Errors
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -1,5 +1,6 @@
 //! Blackboard of one instance: the state that its controllers write and request handling reads.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -9,7 +10,7 @@
 use coltsfootpick_core::names::{ClientAccountName, ServiceName};
 use coltsfootpick_core::part_blame::PartBlame;
 use coltsfootpick_core::quarantine::Quarantine;
-use coltsfootpick_core::retry::{RetryBudget, RetryRatio};
+use coltsfootpick_core::retry::RetryBudget;
 use coltsfootpick_core::routes::RouteTable;
 use coltsfootpick_core::selection::Location;
 use coltsfootpick_core::server_limits::{ServerLimits, ServerRun};
@@ -23,6 +24,7 @@
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::metrics::Metrics;
+use crate::retry_share::{RetryLimit, RetryShare};
 use crate::servers::{ServerEntry, ServerTable};
 
 /// Monotonic clock of one instance; it follows tokio's time, which tests can pause.
@@ -73,21 +75,9 @@
     pub capacity: u32,
 }
 
-/// Limit on retries over all instances: dispatches beyond the first of each request, in a sliding window.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RetryLimit {
-    /// Retries allowed per request, from 0 to 1.
-    pub ratio: f64,
-    /// Retries allowed in addition to `ratio`.
-    pub slack: u32,
-}
-
 /// Number of instances assumed until more are known.
 const FLEET_SIZE_MIN: usize = 6;
 
-/// Fraction of the fleet's retry limit that the instances share, so that overlapping windows stay within the limit.
-const RETRY_FRACTION: f64 = 0.5;
-
 /// Shared state of one instance.
 #[derive(Debug)]
 pub struct Blackboard {
@@ -127,7 +117,7 @@
     fleet_listed: CancellationToken,
     fleet_size: AtomicUsize,
     open_requests: AtomicU64,
-    retry_budgets: Mutex<std::collections::BTreeMap<ServiceName, RetryBudget>>,
+    retry_shares: Mutex<BTreeMap<ServiceName, RetryShare>>,
 }
 
 impl Blackboard {
@@ -156,7 +146,7 @@
             fleet_listed: CancellationToken::new(),
             fleet_size: AtomicUsize::new(FLEET_SIZE_MIN),
             open_requests: AtomicU64::new(0),
-            retry_budgets: Mutex::default(),
+            retry_shares: Mutex::default(),
         })
     }
 
@@ -341,24 +331,14 @@
     }
 
     fn with_retry_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut budgets = self.retry_budgets.lock();
-        let share = || {
-            let (fleet, share) = (self.fleet_size(), retry_share(self.instance.retries, self.fleet_size()));
-            let RetryRatio { first_attempts, burst } = share;
-            log_event!(
-                LogEvent::RetryShareSet,
-                "service={service} fleet={fleet} first_attempts={first_attempts} burst={burst}"
-            );
-            share
-        };
-        act(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(share())))
+        let fleet = self.fleet_listed.is_cancelled().then(|| self.fleet_size());
+        let mut shares = self.retry_shares.lock();
+        let known = shares.get(service).map(|share| share.fleet);
+        let share = shares.entry(service.clone()).or_insert_with(|| RetryShare::new(self.instance.retries, fleet));
+        share.set_fleet(self.instance.retries, fleet);
+        if known != Some(fleet) {
+            log_event!(LogEvent::RetryShareSet, "service={service} fleet={fleet:?} burst={}", share.ratio().burst);
+        }
+        act(&mut share.budget)
     }
 }
-
-/// Share of one instance in the retry limit of a fleet of `fleet_size` instances.
-fn retry_share(limit: RetryLimit, fleet_size: usize) -> RetryRatio {
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "ratios lie between 0 and 1")]
-    let first_attempts = (1.0 / (limit.ratio * RETRY_FRACTION).max(0.001)).ceil() as u32;
-    let fleet_size = u32::try_from(fleet_size.max(1)).unwrap_or(u32::MAX);
-    RetryRatio { first_attempts, burst: (limit.slack / 2 / fleet_size).max(1) }
-}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod buffered_body;
 pub mod counted_log;
 pub mod pool;
+pub mod retry_share;
 pub mod servers;
 
 pub mod event_stream;
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -11,7 +11,8 @@
 use coltsfootpick_core::selection::Location;
 use coltsfootpick_process::settings_file::{SettingsError, read_settings};
 
-use crate::blackboard::{InstanceSpec, RetryLimit};
+use crate::blackboard::InstanceSpec;
+use crate::retry_share::RetryLimit;
 
 /// Validated settings of one instance.
 #[derive(Clone, Debug)]
--- a/crates/serving/tests/fleet_retries.rs
+++ b/crates/serving/tests/fleet_retries.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use coltsfootpick_core::names::ServiceName;
-use coltsfootpick_serving::blackboard::{Blackboard, InstanceSpec, RetryLimit};
+use coltsfootpick_serving::blackboard::{Blackboard, InstanceSpec};
+use coltsfootpick_serving::retry_share::RetryLimit;
 use coltsfootpick_serving::servers::ServerEntry;
 use coltsfootpick_testkit::keyed_store::KeyedStore;
 use coltsfootpick_testkit::plain_protocol::test_location;
