Let a request earn part of a retry once, however many connections fail

Callers saw: nothing; servers that rejected requests got more repeats than the ratio allows while others refused connections. Cause: each attempt to reach a server before the first arrival counted as a first attempt, so a request that found no connection three times earned four times its part. Class: counting attempts where the limit counts requests. Change: only the first attempt of a request counts. Evidence: fleet_retries::failed_connections_earn_nothing failed before with 163 repeats of 400 requests (132 allowed), passes now.

--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -248,7 +248,7 @@
             selection.costs
         );
         let mut guard = DispatchGuard::start(&self.board, server, selection, admitted.request.generation.as_ref());
-        if admitted.dispatches == 0 {
+        if admitted.tried_servers.is_empty() {
             self.board.note_first_dispatch(&admitted.service);
         }
         // Charges before sending, since this future may be dropped while the server runs the request.
