Spend a retry after a dispatch that reached another server

Callers saw: nothing; servers got one more arrival for each request that met a server at a reused address first. Cause: an answer that the address belongs to another server did not count as an arrival, so the next dispatch was free. Class: counting what ran where the limit counts what arrives. Change: arrivals are counted beside dispatches; without a retry left such a request is refused as not run. Evidence: fleet_retries::misdirected_count failed before with 400 repeats of 400 requests (132 allowed), passes now; requests 28 of 28.

--- a/crates/serving/src/admitted_request.rs
+++ b/crates/serving/src/admitted_request.rs
@@ -58,7 +58,9 @@
     pub tried_servers: Vec<BackendServerName>,
     /// Marks the suspected parts of the prompt as on trial, until the request is answered.
     pub trial: Option<PartTrial>,
-    /// Number of dispatches that reached a server.
+    /// Number of dispatches that reached any server, the expected one or another at its address.
+    pub arrivals: u32,
+    /// Number of dispatches that reached the expected server.
     pub dispatches: u32,
     /// Whether the request may have run on a server.
     pub maybe_run: bool,
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -141,7 +141,7 @@
         let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
         let event_tokens = engines.map_or(EVENT_TOKENS_DEFAULT, |spec| spec.event_tokens);
         let tried_servers = Vec::new();
-        let (dispatches, maybe_run, is_whole) = (0, false, false);
+        let (arrivals, dispatches, maybe_run, is_whole) = (0, 0, false, false);
         Ok(AdmittedRequest {
             request,
             route,
@@ -153,6 +153,7 @@
             reservation,
             tried_servers,
             trial,
+            arrivals,
             dispatches,
             maybe_run,
             is_whole,
@@ -209,8 +210,9 @@
                 DispatchError::Rejected => admitted.dispatches < admitted.route.max_attempts,
                 DispatchError::Unknown(_) => admitted.may_repeat() && !has_crashed(probe).await,
             };
-            let is_repeat = admitted.dispatches > 0;
-            if !may_continue || (is_repeat && !self.board.take_retry(&admitted.service, &admitted.request.id)) {
+            if !may_continue
+                || (admitted.arrivals > 0 && !self.board.take_retry(&admitted.service, &admitted.request.id))
+            {
                 return Err(self.final_refusal(admitted, &error.to_string()));
             }
         }
@@ -256,8 +258,12 @@
         let result =
             send_request(&self.board, &*self.protocol, &admitted.request, server, &context, admitted.deadline).await;
         match &result {
-            Err(DispatchError::NotSent(_) | DispatchError::OtherServer) => {}
-            _ => admitted.dispatches += 1,
+            Err(DispatchError::NotSent(_)) => {}
+            Err(DispatchError::OtherServer) => admitted.arrivals += 1,
+            _ => {
+                admitted.arrivals += 1;
+                admitted.dispatches += 1;
+            }
         }
         let maybe_run = result.as_ref().is_ok() || result.as_ref().is_err_and(|error| !error.is_not_run());
         admitted.maybe_run |= maybe_run;
