Charge a generation that did not end whole for its longest answer

Callers saw: nothing; an account could get more tokens than it had paid for. Cause: a stream that its caller left was charged ten events beyond those read, and a buffered answer or failure the prompt and ten events, whatever sockets or bodies held. On a starved instance that is most of the answer. Class: an upper bound taken from what was read instead of from what may have been sent. Change: what is not complete and not proved unrun is charged for prompt and longest answer; the state for open streams goes.

--- a/crates/serving/src/admitted_request.rs
+++ b/crates/serving/src/admitted_request.rs
@@ -16,9 +16,6 @@
 use crate::log_events::LogEvent;
 use crate::request::CallerRequest;
 
-/// Events charged beyond those read from an open stream: the server may have sent them before it notices a disconnect.
-const EVENTS_IN_FLIGHT: u64 = 10;
-
 /// Events that a stream may contain beyond one for each output token, such as comments and an end mark.
 const EVENTS_BEYOND_OUTPUT: u64 = 1_024;
 
@@ -27,12 +24,11 @@
 pub enum GenerationProgress {
     /// The generation is proved not to have run.
     NotRun,
-    /// The generation is running and this many events were read; more may be in flight.
-    Open(u64),
+    /// The generation may be running or may have broken off. Sockets and links may hold any part of its output, so it is
+    /// charged in full.
+    Started,
     /// The generation ended with this many events.
     Complete(u64),
-    /// The response broke off; the server may have sent more events than were read.
-    Unknown,
 }
 
 /// Admitted request with its route, client account and credit.
@@ -105,12 +101,12 @@
         self.is_whole = matches!(progress, GenerationProgress::Complete(_));
         let generation = self.request.generation.as_ref();
         let (Some(reservation), Some(generation)) = (&mut self.reservation, generation) else { return };
-        let events = |count: u64| generation.prompt + Tokens(count.saturating_mul(self.event_tokens));
         reservation.set_used(match progress {
             GenerationProgress::NotRun => Tokens::ZERO,
-            GenerationProgress::Open(count) => events(count + EVENTS_IN_FLIGHT),
-            GenerationProgress::Complete(count) => events(count),
-            GenerationProgress::Unknown => generation.bound(),
+            GenerationProgress::Started => generation.bound(),
+            GenerationProgress::Complete(events) => {
+                generation.prompt + Tokens(events.saturating_mul(self.event_tokens))
+            }
         });
     }
 
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -137,7 +137,6 @@
                     }
                     StreamRead::Events(events) => {
                         self.handler.board.note_traffic(events.len(), CHUNK_OVERHEAD_BYTES);
-                        self.admitted.update_usage(GenerationProgress::Open(self.splitter.events()));
                         self.admitted.trial = None;
                         self.current = Some(exchange);
                         return StreamStep::Events(events);
@@ -187,8 +186,7 @@
             "request={id} server={} events={events} last={last_event:?}",
             server.entry.name
         );
-        let result =
-            self.handler.dispatch_once(&mut self.admitted, &server, &selection, (last_event.as_deref(), events)).await;
+        let result = self.handler.dispatch_once(&mut self.admitted, &server, &selection, last_event.as_deref()).await;
         match result {
             Ok(exchange) if exchange.response.head.status.is_success() => {
                 self.current = Some(exchange);
@@ -225,7 +223,6 @@
     }
 
     fn abort(&mut self, code: Code, reason: &str) -> StreamStep {
-        self.admitted.update_usage(GenerationProgress::Unknown);
         let (id, events) = (self.open_request.id(), self.splitter.events());
         log_event!(
             LogEvent::StreamAborted,
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -196,7 +196,7 @@
                     _ => refusal,
                 });
             };
-            let error = match self.dispatch_once(admitted, &server, &selection, (None, 0)).await {
+            let error = match self.dispatch_once(admitted, &server, &selection, None).await {
                 Ok(exchange) => return Ok(exchange),
                 Err(error) => error,
             };
@@ -218,14 +218,13 @@
         }
     }
 
-    /// Dispatches to one server. To resume a stream, `last_event` is the id of the last event that the caller received,
-    /// and `events` is the number of events received.
+    /// Dispatches to one server. To resume a stream, `last_event` is the id of the last event that the caller received.
     pub async fn dispatch_once(
         &self,
         admitted: &mut AdmittedRequest,
         server: &Arc<Server>,
         selection: &Selection,
-        (last_event, events): (Option<&str>, u64),
+        last_event: Option<&str>,
     ) -> Result<ServerExchange, DispatchError> {
         let remaining = admitted.deadline.saturating_duration_since(Instant::now());
         let account = admitted.account.clone();
@@ -254,7 +253,7 @@
             self.board.note_first_dispatch(&admitted.service);
         }
         // Charges before sending, since this future may be dropped while the server runs the request.
-        admitted.update_usage(GenerationProgress::Open(events));
+        admitted.update_usage(GenerationProgress::Started);
         let result =
             send_request(&self.board, &*self.protocol, &admitted.request, server, &context, admitted.deadline).await;
         match &result {
@@ -267,11 +266,9 @@
         }
         let maybe_run = result.as_ref().is_ok() || result.as_ref().is_err_and(|error| !error.is_not_run());
         admitted.maybe_run |= maybe_run;
-        admitted.update_usage(match &result {
-            Ok(_) => GenerationProgress::Open(events),
-            Err(_) if !admitted.maybe_run => GenerationProgress::NotRun,
-            Err(_) => GenerationProgress::Unknown,
-        });
+        if !admitted.maybe_run {
+            admitted.update_usage(GenerationProgress::NotRun);
+        }
         let outcome = match &result {
             Ok(response) => response.head.status.as_str().to_owned(),
             Err(error) => error.to_string().split(':').next().unwrap_or_default().to_owned(),
