Add failing tests: an account is overspent by a restart in an older copy

The random schedule let every instance write again in the step in which the older copy came back, so no run could start and raise its ceiling in between. Change: the schedule restarts instances at that moment, and restart_in_older_copy plays the shortest case; both are known red.

--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -232,12 +232,13 @@
             .collect()
     }
 
-    /// Replaces the log by a copy that lacks up to `count` records, and lets every connected run write its record
-    /// again.
+    /// Replaces the log by a copy that lacks up to `count` records. `restarted` die at that moment; their next runs write
+    /// first, then every connected run writes its record again.
     ///
     /// The copy keeps a record that no other connected run has read, unless its writer is one itself: nobody could
     /// write it again, which is a loss that `docs/CREDIT.md#eras` states.
-    fn restore_copy(&mut self, count: usize) {
+    fn restore_copy(&mut self, count: usize, restarted: &[usize]) {
+        restarted.iter().for_each(|index| self.kill(*index));
         let connected = || self.runs.iter().flatten().filter(|run| !run.is_disconnected);
         let end = self.log.records.len();
         let is_known = |at: usize| {
@@ -253,6 +254,13 @@
         self.log.next_sequences.clear();
         self.log.delayed.clear();
         self.log.era += 1;
+        for _ in 0..3 {
+            for index in restarted {
+                self.start(*index);
+                self.renew(*index);
+                self.drain(*index);
+            }
+        }
         for _ in 0..2 {
             (0..INSTANCES).for_each(|index| self.renew(index));
         }
@@ -400,8 +408,8 @@
     JumpClock(usize, i64),
     Publish,
     ReadDocument(usize),
-    /// Largest number of records that an older copy of the log lacks.
-    RestoreCopy(usize),
+    /// Largest number of records that an older copy of the log lacks, and instances that restart meanwhile.
+    RestoreCopy(usize, Vec<usize>),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -427,7 +435,8 @@
             .prop_map(|(from, to, lost)| Step::SettleLoans(from, to, lost)),
         1 => (instance.clone(), any::<bool>()).prop_map(|(index, is_lender)| Step::ChangeRole(index, is_lender)),
         1 => Just(Step::Publish),
-        1 => (0_usize..30).prop_map(Step::RestoreCopy),
+        1 => (0_usize..30, prop::collection::vec(instance.clone(), 0..INSTANCES))
+            .prop_map(|(count, restarted)| Step::RestoreCopy(count, restarted)),
         4 => instance.clone().prop_map(Step::ReadDocument),
         // One clock of four jumps, by up to 4 s, which is more than the isolation timeout.
         1 => (-4_000_i64..4_000).prop_map(|jump| Step::JumpClock(0, jump)),
@@ -462,7 +471,7 @@
                 run.is_lender = is_lender;
             }
         }
-        Step::RestoreCopy(count) => fleet.restore_copy(count),
+        Step::RestoreCopy(count, restarted) => fleet.restore_copy(count, &restarted),
         Step::Publish => fleet.version += 1,
         Step::ReadDocument(index) => fleet.read_document(index),
         Step::JumpClock(index, jump) => fleet.clock_errors[index] += jump,
@@ -713,6 +722,25 @@
     assert!(fleet.used() <= PREPAID);
 }
 
+/// An instance restarts while the store has an older copy, before the others have written what the copy lacks.
+#[test]
+fn restart_in_older_copy() {
+    let mut fleet = Simulation::new(GREEDY);
+    for _ in 0..3 {
+        (0..INSTANCES).for_each(|index| fleet.renew(index));
+    }
+    let copied = fleet.log.records.len();
+    for _ in 0..20 {
+        fleet.drain(0);
+        fleet.renew(0);
+    }
+    (1..INSTANCES).for_each(|index| fleet.read(index, false));
+    let lacking = fleet.log.records.len() - copied;
+    fleet.restore_copy(lacking, &[0]);
+    (0..INSTANCES).for_each(|index| fleet.drain(index));
+    assert!(fleet.used() <= PREPAID, "{} of {PREPAID} tokens are used", fleet.used());
+}
+
 /// A write that its holder believed lost reaches the store after a later write of the same holder.
 #[test]
 fn late_write() {
