Read software versions of servers and the streams that callers take up, and log both

Cause: the logs could not show a server's software version, nor that a request takes up a stream, nor of which attempt.

--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -52,6 +52,10 @@
     /// Name of a backend server.
     BackendServerName
 );
+name_type!(
+    /// Version of the software that a backend server runs, an opaque text without an order.
+    SoftwareVersion
+);
 name_type!(
     /// Name of an instance of the fleet.
     InstanceName
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -65,6 +65,8 @@
     RetryDenied,
     /// The share of this instance in a service's retry budget was computed.
     RetryShareSet,
+    /// A caller takes up a stream of which it has received events.
+    StreamTakenUp,
     /// Credit ceilings were written.
     CeilingsWritten,
     /// A write of credit ceilings has an unknown outcome.
@@ -128,6 +130,7 @@
         Self::LinkChanged,
         Self::RetryDenied,
         Self::RetryShareSet,
+        Self::StreamTakenUp,
         Self::CeilingsWritten,
         Self::CeilingsUncertain,
         Self::CreditLent,
@@ -177,6 +180,7 @@
             Self::LinkChanged => "CP1307",
             Self::RetryDenied => "CP1308",
             Self::RetryShareSet => "CP1309",
+            Self::StreamTakenUp => "CP1310",
             Self::CeilingsWritten => "CP1400",
             Self::CeilingsUncertain => "CP1401",
             Self::CreditLent => "CP1403",
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -8,6 +8,15 @@
 use http::{HeaderMap, Method};
 use tokio::time::Instant;
 
+/// Stream that a caller takes up after its connection broke.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// Id of the last event that the caller received.
+    pub last_event: Arc<str>,
+    /// Id of the attempt that brought the first event, if the caller names exactly one.
+    pub first_attempt: Option<Arc<str>>,
+}
+
 /// Request as one caller sent it; a retry by the caller is another request.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -29,6 +38,8 @@
     pub timeout: Option<Duration>,
     /// Size of the requested generation, or `None` for a plain call.
     pub generation: Option<Generation>,
+    /// Stream that the caller takes up, if it has received events of it.
+    pub resumed: Option<ResumedStream>,
     /// Time of arrival, from which the timeout is counted.
     pub arrived: Instant,
 }
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -28,7 +28,7 @@
 use crate::open_request::OpenRequest;
 use crate::outcome::RequestOutcome;
 use crate::relay;
-use crate::request::CallerRequest;
+use crate::request::{CallerRequest, ResumedStream};
 use crate::servers::Server;
 
 /// Retry delay given to a request that found no server.
@@ -124,6 +124,10 @@
             return Err(Refusal::not_run(Code::UnknownService, detail));
         };
         let account = account_of(&table, &route, &request)?;
+        if let Some(ResumedStream { last_event, first_attempt }) = &request.resumed {
+            let (id, first) = (&request.id, first_attempt.as_deref().unwrap_or_default());
+            log_event!(LogEvent::StreamTakenUp, "request={id} stream={first:?} last={last_event:?}");
+        }
         let Some(service) = route.service(&request.id).cloned() else {
             return Err(Refusal::not_run(Code::UnknownService, format!("route={} has no service", route.name)));
         };
@@ -258,11 +262,12 @@
         };
         log_event!(
             LogEvent::Dispatched,
-            "request={} route={} service={} server={} left_ms={} sends={} unread={} parts={} costs=\"{}\"",
+            "request={} route={} service={} server={} version={:?} left_ms={} sends={} unread={} parts={} costs=\"{}\"",
             admitted.request.id,
             admitted.route.name,
             admitted.service,
             server.entry.name,
+            &*server.entry.version,
             remaining.as_millis(),
             admitted.dispatches,
             selection.uncached,
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfootpick_core::names::{BackendServerName, ServiceName};
+use coltsfootpick_core::names::{BackendServerName, ServiceName, SoftwareVersion};
 use coltsfootpick_core::selection::{Location, ServerLoad};
 use coltsfootpick_core::server_limits::ServerRun;
 use parking_lot::{Mutex, RwLock};
@@ -38,6 +38,8 @@
     pub started_at: Option<u64>,
     /// Version of the model weights that the server runs, 0 if it states none.
     pub weights: u64,
+    /// Version of the server's software; what one version began, another cannot continue.
+    pub version: SoftwareVersion,
 }
 
 impl ServerEntry {
@@ -47,7 +49,10 @@
     }
 
     fn is_same_run(&self, other: &Self) -> bool {
-        self.address == other.address && self.service == other.service && self.started_at == other.started_at
+        self.address == other.address
+            && self.service == other.service
+            && self.started_at == other.started_at
+            && self.version == other.version
     }
 }
 
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -91,6 +91,7 @@
             leaving: state == "leaving",
             started_at: started_at.parse().ok(),
             weights: 0,
+            version: "v1".into(),
         })
     }
 }
--- a/crates/testkit/src/request_harness.rs
+++ b/crates/testkit/src/request_harness.rs
@@ -128,6 +128,7 @@
         leaving: false,
         started_at: Some(1),
         weights: 1,
+        version: "v1".into(),
     }
 }
 
@@ -148,6 +149,7 @@
         api_key: Some("key".into()),
         timeout: Some(Duration::from_secs(3)),
         generation,
+        resumed: None,
         arrived: Instant::now(),
     }
 }
