--- /dev/null
+++ b/crates/serving/tests/resumed_streams.rs
@@ -0,0 +1,151 @@
+//! A stream goes on only at servers of the software version that began it, within one answer and over a caller's tries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootpick_core::refusal::{Refusal, RunStatus};
+use coltsfootpick_serving::outcome::{RequestOutcome, ResponseBody};
+use coltsfootpick_serving::request::{CallerRequest, ResumedStream};
+use coltsfootpick_serving::servers::ServerEntry;
+use coltsfootpick_testkit::keyed_store::KeyedStore;
+use coltsfootpick_testkit::request_harness::{RequestHarness, request, server_entry};
+use coltsfootpick_testkit::scripted_server::{ScriptedServer, ServerAction, chunk, chunked_head, event};
+use futures_util::StreamExt;
+use test_case::test_case;
+
+/// Time after which every instance can know which version began a stream.
+const TOLD: Duration = Duration::from_millis(800);
+
+fn events(range: std::ops::RangeInclusive<u64>) -> String {
+    range.map(event).collect()
+}
+
+/// Server that ends a stream with the events 4 to 6.
+async fn whole_server() -> ScriptedServer {
+    let end = ServerAction::Write("0\r\n\r\n".to_owned());
+    ScriptedServer::start(vec![vec![chunked_head(), chunk(&events(4..=6)), end]]).await
+}
+
+/// Server that sends three events and then does as `rest` says.
+async fn first_server(rest: Vec<ServerAction>) -> ScriptedServer {
+    ScriptedServer::start(vec![[vec![chunked_head(), chunk(&events(1..=3))], rest].concat()]).await
+}
+
+fn list(harness: &RequestHarness, name: &str, server: &ScriptedServer, version: &str) {
+    let entry = ServerEntry { version: version.into(), ..server_entry(name, server.address) };
+    harness.handler.board.servers.put(entry);
+}
+
+/// Starts an instance without servers.
+async fn start(name: &str, store: &KeyedStore) -> RequestHarness {
+    let harness = RequestHarness::start(name, store, &[]);
+    harness.wait_for_credit().await;
+    harness
+}
+
+/// Request that takes up the stream `first` after its third event.
+fn take_up(first: Option<&str>) -> CallerRequest {
+    let resumed = ResumedStream { last_event: "3".into(), first_attempt: first.map(Arc::from) };
+    CallerRequest { resumed: Some(resumed), ..request("explain") }
+}
+
+/// Reads an answer; returns its text and whether it ended whole.
+async fn read(outcome: RequestOutcome) -> Result<(String, bool), Refusal> {
+    let mut pieces = match outcome {
+        RequestOutcome::Relayed(_, ResponseBody::Events(pieces)) => pieces,
+        RequestOutcome::Relayed(..) => return Ok((String::new(), true)),
+        RequestOutcome::Refused(refusal) => return Err(refusal),
+    };
+    let mut text = String::new();
+    while let Some(piece) = pieces.next().await {
+        match piece {
+            Ok(bytes) => text.push_str(std::str::from_utf8(&bytes).unwrap()),
+            Err(_) => return Ok((text, false)),
+        }
+    }
+    Ok((text, true))
+}
+
+/// Begins a stream at `server`, whose caller leaves after the first events; returns the id of the attempt.
+async fn begin(harness: &RequestHarness, server: &ScriptedServer, version: &str) -> Arc<str> {
+    list(harness, "a", server, version);
+    let first = request("explain");
+    let id = Arc::clone(&first.id);
+    let RequestOutcome::Relayed(_, ResponseBody::Events(mut pieces)) = harness.handler.serve(first).await else {
+        panic!("no stream")
+    };
+    assert!(pieces.next().await.is_some_and(|piece| piece.is_ok()));
+    id
+}
+
+fn arrivals(server: &ScriptedServer) -> usize {
+    server.recorded().requests.len()
+}
+
+#[test_case(true; "one of its version is left")]
+#[test_case(false; "none of its version is left")]
+#[tokio::test]
+async fn same_version_within_answer(has_other: bool) {
+    let pause = ServerAction::Wait(Duration::from_millis(100));
+    let first = first_server(vec![pause, chunk("id: 4\nda"), ServerAction::Close]).await;
+    let (newer, same) = (whole_server().await, whole_server().await);
+    let harness = start("edge-a", &KeyedStore::default()).await;
+    list(&harness, "a", &first, "v1");
+    let outcome = harness.handler.serve(request("explain")).await;
+    list(&harness, "b", &newer, "v1.1");
+    if has_other {
+        list(&harness, "c", &same, "v1");
+    }
+    let last = if has_other { 6 } else { 3 };
+    assert_eq!(read(outcome).await.unwrap(), (events(1..=last), has_other));
+    assert_eq!(arrivals(&newer), 0, "the stream went on at another version");
+}
+
+/// The caller takes its stream up at an instance that never saw it.
+#[test_case(true; "one of its version is left")]
+#[test_case(false; "none of its version is left")]
+#[tokio::test]
+async fn same_version_elsewhere(has_other: bool) {
+    let first = first_server(vec![ServerAction::Wait(Duration::from_secs(30))]).await;
+    let (newer, same) = (whole_server().await, whole_server().await);
+    let store = KeyedStore::default();
+    let (here, there) = (start("edge-a", &store).await, start("edge-b", &store).await);
+    for harness in [&here, &there] {
+        list(harness, "b", &newer, "v1.1");
+    }
+    here.handler.board.servers.remove(&"b".into());
+    let id = begin(&here, &first, "v1").await;
+    list(&here, "b", &newer, "v1.1");
+    if has_other {
+        list(&there, "c", &same, "v1");
+    }
+    tokio::time::sleep(TOLD).await;
+    let answer = read(there.handler.serve(take_up(Some(&id))).await).await;
+    assert_eq!(arrivals(&newer), 0, "the stream went on at another version");
+    match has_other {
+        true => assert_eq!(answer.unwrap(), (events(4..=6), true)),
+        false => assert_eq!(answer.unwrap_err().run, RunStatus::NotRun),
+    }
+}
+
+#[test_case(None; "none is named")]
+#[test_case(Some("elsewhere"); "an unknown one is named")]
+#[tokio::test]
+async fn unknown_stream(first: Option<&str>) {
+    let (old, new) = (whole_server().await, whole_server().await);
+    let harness = start("edge-a", &KeyedStore::default()).await;
+    list(&harness, "a", &old, "v1");
+    list(&harness, "b", &new, "v1.1");
+    let refusal = read(harness.handler.serve(take_up(first)).await).await.unwrap_err();
+    assert_eq!((refusal.run, arrivals(&old) + arrivals(&new)), (RunStatus::NotRun, 0));
+}
+
+/// While all servers have one version, a stream that nobody knows can go on.
+#[tokio::test]
+async fn single_version() {
+    let server = whole_server().await;
+    let harness = start("edge-a", &KeyedStore::default()).await;
+    list(&harness, "a", &server, "v1");
+    let answer = read(harness.handler.serve(take_up(Some("elsewhere"))).await).await;
+    assert_eq!(answer.unwrap(), (events(4..=6), true));
+}
