Continue streams only at the software version that began them

Cause: the version of a server was not known to selection, and an instance that a caller asked to continue a stream handled it like a new request. Class: state that one process wrote and another reads on, without a check that it can. Change: the first event binds a stream to its version; while versions are mixed, runs record the origins of their streams in the store, and an instance that does not know a stream reads them. What nobody knows is refused as not run.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,5 +44,6 @@
 pub mod shard_credit;
 pub mod sizing;
 pub mod snapshot_schedule;
+pub mod stream_origins;
 pub mod trace;
 pub mod units;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -50,6 +50,8 @@
     BackendFailed,
     /// The request crashed backend servers and must not run again.
     Quarantined,
+    /// No server of the software version that began the stream can continue it, or that version is not known.
+    StreamLost,
     /// The instance is stopping.
     Draining,
     /// The body exceeds the size limit.
@@ -107,7 +109,11 @@
             Self::Overloaded => 429,
             Self::BackendFailed => 502,
             Self::DeadlinePassed => 504,
-            Self::CreditUnavailable | Self::LogUnavailable | Self::NoBackendServer | Self::Draining => 503,
+            Self::CreditUnavailable
+            | Self::LogUnavailable
+            | Self::NoBackendServer
+            | Self::StreamLost
+            | Self::Draining => 503,
         }
     }
 }
--- a/crates/serving/src/admitted_request.rs
+++ b/crates/serving/src/admitted_request.rs
@@ -7,6 +7,7 @@
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::routes::{AccountSpec, RepeatPolicy, Route, RouteTable};
 use coltsfootpick_core::selection::Generation;
+use coltsfootpick_core::stream_origins::{StreamKey, StreamOrigin};
 use coltsfootpick_core::units::Tokens;
 use tokio::time::Instant;
 
@@ -48,6 +49,10 @@
     pub fingerprint: Fingerprint,
     /// Instant by which the response must be complete.
     pub deadline: Instant,
+    /// Key under which other instances learn of the stream.
+    pub stream: StreamKey,
+    /// Servers at which the stream may go on; `None` until it has brought an event.
+    pub origin: Option<StreamOrigin>,
     /// Reserved tokens, if the account is limited and the request is a generation.
     pub reservation: Option<CreditReservation>,
     /// Servers already tried, whether or not the request reached them.
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -14,6 +14,7 @@
 use coltsfootpick_core::routes::RouteTable;
 use coltsfootpick_core::selection::Location;
 use coltsfootpick_core::server_limits::{ServerLimits, ServerRun};
+use coltsfootpick_core::stream_origins::StreamOrigins;
 use coltsfootpick_core::units::{ClockReading, Instant};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
@@ -93,6 +94,8 @@
     pub quarantine: Mutex<Quarantine>,
     /// Evidence about prompt parts that crash servers.
     pub part_blame: Mutex<PartBlame>,
+    /// Software versions that began the recent streams.
+    pub stream_origins: Mutex<StreamOrigins>,
     /// Limits of requests a second that servers named.
     pub server_limits: Mutex<ServerLimits>,
     /// Notified when there are observations to report.
@@ -113,6 +116,7 @@
     document_versions: watch::Sender<u64>,
     servers_listed: AtomicBool,
     store_answers: AtomicBool,
+    store_answered_at: Mutex<Instant>,
     fleet: RwLock<Fleet>,
     fleet_listed: CancellationToken,
     fleet_size: AtomicUsize,
@@ -130,6 +134,7 @@
             servers: ServerTable::default(),
             quarantine: Mutex::default(),
             part_blame: Mutex::default(),
+            stream_origins: Mutex::default(),
             server_limits: Mutex::default(),
             observation_news: Notify::new(),
             buffered: BufferedTotal::default(),
@@ -142,6 +147,7 @@
             document_versions: watch::Sender::new(0),
             servers_listed: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
+            store_answered_at: Mutex::default(),
             fleet: RwLock::default(),
             fleet_listed: CancellationToken::new(),
             fleet_size: AtomicUsize::new(FLEET_SIZE_MIN),
@@ -292,6 +298,9 @@
     /// Records whether the last call to the store was answered.
     pub fn note_store_answer(&self, is_answered: bool) {
         self.store_answers.store(is_answered, Ordering::Relaxed);
+        if is_answered {
+            *self.store_answered_at.lock() = self.clock.now();
+        }
     }
 
     /// Whether the last call to the store was answered.
@@ -299,6 +308,11 @@
         self.store_answers.load(Ordering::Relaxed)
     }
 
+    /// Time since the last answer of the store.
+    pub fn store_silence(&self) -> Duration {
+        self.clock.now().since(*self.store_answered_at.lock())
+    }
+
     /// Number of open requests.
     pub fn open_requests(&self) -> u64 {
         self.open_requests.load(Ordering::Relaxed)
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -31,6 +31,8 @@
     Instances,
     /// What each instance observed of backend servers and the requests that ran there.
     Observations,
+    /// Streams that each run of an instance began, by the software version of their servers.
+    Streams,
 }
 
 /// Record of a topic: a key with a value, or the deletion of a key.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peer_client;
 pub mod peer_list;
 pub mod peer_server;
+pub mod stream_registry;
 
 pub mod document_controller;
 pub mod server_controller;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -28,6 +28,8 @@
     pub store_latency: Histogram,
     /// Tokens settled.
     pub tokens: Counter,
+    /// Streams that callers took up, by what was known of their origin.
+    pub streams_taken_up: Family<Label, Counter>,
     /// Pauses that servers asked for.
     pub server_pauses: Counter,
     /// Prompt parts that are convicted of crashing servers.
@@ -52,6 +54,7 @@
             store_calls: Family::default(),
             store_latency: Histogram::new(BUCKETS),
             tokens: Counter::default(),
+            streams_taken_up: Family::default(),
             server_pauses: Counter::default(),
             convicted_parts: Gauge::default(),
             limited_servers: Gauge::default(),
@@ -75,6 +78,8 @@
         let store = self.store_latency.clone();
         registry.register_with_unit("store_call", "Calls to the store that do not wait", Unit::Seconds, store);
         registry.register("settled_tokens", "Tokens settled", self.tokens.clone());
+        let taken_up = self.streams_taken_up.clone();
+        registry.register("streams_taken_up", "Streams that callers took up, by what was known of them", taken_up);
         registry.register("server_pauses", "Pauses that servers asked for", self.server_pauses.clone());
         let parts = self.convicted_parts.clone();
         registry.register("convicted_parts", "Prompt parts that are convicted of crashing servers", parts);
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -8,6 +8,7 @@
 use coltsfootpick_core::link_load::CHUNK_OVERHEAD_BYTES;
 use coltsfootpick_core::refusal::{Code, Refusal, RunStatus};
 use coltsfootpick_core::routes::RepeatPolicy;
+use coltsfootpick_core::stream_origins::StreamOrigin;
 use coltsfootpick_core::units::Tokens;
 use futures_util::{StreamExt, stream};
 use http::response::Parts;
@@ -22,7 +23,7 @@
 use crate::open_request::OpenRequest;
 use crate::outcome::{EventStream, RequestOutcome, ResponseBody, StreamAborted};
 use crate::request_handler::{RequestHandler, ServerExchange, has_crashed};
-use crate::servers::Server;
+use crate::servers::{Server, ServerEntry};
 
 /// Buffers the whole response before it is relayed, so that the request can still be repeated if the response breaks off.
 pub async fn buffer_response(
@@ -79,7 +80,7 @@
 ) -> RequestOutcome {
     let head = exchange.response.head.clone();
     let splitter = EventSplitter::default();
-    let mut relay = StreamRelay { handler, admitted, current: Some(exchange), splitter, open_request };
+    let mut relay = StreamRelay { handler, admitted, current: Some(exchange), splitter, open_request, is_noted: false };
     // Waits for the first events before sending the head, so that an earlier failure can still become a refusal.
     match relay.next().await {
         StreamStep::Events(first) => {
@@ -125,6 +126,8 @@
     current: Option<ServerExchange>,
     splitter: EventSplitter,
     open_request: OpenRequest,
+    /// Whether the origin of the stream is recorded.
+    is_noted: bool,
 }
 
 impl StreamRelay {
@@ -141,6 +144,7 @@
                     StreamRead::Events(events) => {
                         self.handler.board.note_traffic(events.len(), CHUNK_OVERHEAD_BYTES);
                         self.admitted.trial = None;
+                        self.note_origin(&exchange.server);
                         self.current = Some(exchange);
                         return StreamStep::Events(events);
                     }
@@ -171,6 +175,18 @@
         }
     }
 
+    /// Binds the stream to the software version that brought its first event, and has the others told.
+    fn note_origin(&mut self, server: &Server) {
+        let board = &self.handler.board;
+        if self.splitter.events() > 0 && !self.is_noted {
+            let ServerEntry { service, version, .. } = &server.entry;
+            let origin = StreamOrigin { service: service.clone(), version: version.clone() };
+            board.stream_origins.lock().note_stream(self.admitted.stream, origin.clone(), board.clock.now());
+            self.admitted.origin = Some(origin);
+            self.is_noted = true;
+        }
+    }
+
     /// Resumes the stream at another server after the last complete event, if the route allows it.
     async fn resume(&mut self) -> bool {
         let is_resumable = self.admitted.route.repeat == RepeatPolicy::Resumable;
@@ -189,8 +205,9 @@
         let (id, events) = (self.open_request.id(), self.splitter.events());
         log_event!(
             LogEvent::StreamResumed,
-            "request={id} server={} events={events} last={last_event:?}",
-            server.entry.name
+            "request={id} server={} version={:?} events={events} last={last_event:?}",
+            server.entry.name,
+            &*server.entry.version
         );
         let result = self.handler.dispatch_once(&mut self.admitted, &server, &selection, last_event.as_deref()).await;
         match result {
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -10,8 +10,9 @@
 
 use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::refusal::{Code, Refusal};
-use coltsfootpick_core::routes::AccountSpec;
+use coltsfootpick_core::routes::{AccountSpec, Route};
 use coltsfootpick_core::selection::{Candidate, Generation, Selection, SelectionRequest, choose};
+use coltsfootpick_core::stream_origins::{Continuation, StreamKey, StreamOrigin};
 use coltsfootpick_core::units::Tokens;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -30,6 +31,7 @@
 use crate::relay;
 use crate::request::{CallerRequest, ResumedStream};
 use crate::servers::Server;
+use crate::stream_registry::StreamRegistry;
 
 /// Retry delay given to a request that found no server.
 const SERVER_BACKOFF: Duration = Duration::from_millis(400);
@@ -59,6 +61,8 @@
     pub board: Arc<Blackboard>,
     /// Controller that reserves credit.
     pub credit: Arc<CreditController>,
+    /// Software versions that began the streams of all instances.
+    pub streams: Arc<StreamRegistry>,
     /// Protocol of the backend servers.
     pub protocol: Arc<dyn BackendProtocol>,
 }
@@ -124,11 +128,10 @@
             return Err(Refusal::not_run(Code::UnknownService, detail));
         };
         let account = account_of(&table, &route, &request)?;
-        if let Some(ResumedStream { last_event, first_attempt }) = &request.resumed {
-            let (id, first) = (&request.id, first_attempt.as_deref().unwrap_or_default());
-            log_event!(LogEvent::StreamTakenUp, "request={id} stream={first:?} last={last_event:?}");
-        }
-        let Some(service) = route.service(&request.id).cloned() else {
+        // A stream that is taken up goes to the service that its first attempt went to.
+        let first_attempt = request.resumed.as_ref().and_then(|resumed| resumed.first_attempt.clone());
+        let first_attempt = first_attempt.unwrap_or_else(|| Arc::clone(&request.id));
+        let Some(service) = route.service(&first_attempt).cloned() else {
             return Err(Refusal::not_run(Code::UnknownService, format!("route={} has no service", route.name)));
         };
         let timeout = request.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
@@ -141,6 +144,9 @@
             crash_detection::fingerprint(&request, account.as_ref().map(|account| &account.name), &service);
         crash_detection::check_quarantine(&self.board, fingerprint)?;
         let payer = name_of(account.as_deref());
+        let stream = StreamKey::of(&payer, &first_attempt);
+        let origin = self.find_origin(&request, &route, &service, stream).await?;
+        let service = origin.as_ref().map_or(service, |origin| origin.service.clone());
         let trial = crash_detection::check_parts(&self.board, request.generation.as_ref(), &payer, &service)?;
         let reservation = self.reserve(&request, account.as_deref(), deadline).await?;
         let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
@@ -155,6 +161,8 @@
             event_tokens,
             fingerprint,
             deadline,
+            stream,
+            origin,
             reservation,
             tried_servers,
             lost: Tokens::ZERO,
@@ -166,6 +174,39 @@
         })
     }
 
+    /// Finds where a stream that the caller takes up began; `None` for other requests and while any server can continue it.
+    async fn find_origin(
+        &self,
+        request: &CallerRequest,
+        route: &Route,
+        service: &ServiceName,
+        stream: StreamKey,
+    ) -> Result<Option<StreamOrigin>, Refusal> {
+        let Some(ResumedStream { last_event, first_attempt }) = request.resumed.as_ref().filter(|_| route.streams)
+        else {
+            return Ok(None);
+        };
+        let key = first_attempt.as_ref().map(|_| stream);
+        let found = self.streams.continuation(key, service).await;
+        let (id, first) = (&request.id, first_attempt.as_deref().unwrap_or_default());
+        log_event!(LogEvent::StreamTakenUp, "request={id} stream={first:?} last={last_event:?} found=\"{found}\"");
+        Metrics::count(&self.board.metrics.streams_taken_up, found.name());
+        let lost = |reason: &str| Refusal::not_run(Code::StreamLost, format!("stream={first:?} {reason}"));
+        match found {
+            Continuation::Anywhere => Ok(None),
+            Continuation::Unknown => {
+                Err(lost("has no known software version").retry_after(self.streams.write_interval()))
+            }
+            Continuation::At(origin, _) if !route.split.iter().any(|(name, _)| *name == origin.service) => {
+                Err(lost("began at a service to which the route no longer leads"))
+            }
+            Continuation::At(origin, _) if !self.board.servers.origins().contains(&origin) => {
+                Err(lost("began at a software version of which no server is left"))
+            }
+            Continuation::At(origin, _) => Ok(Some(origin)),
+        }
+    }
+
     /// Refuses requests of ranks that a full network link does not take.
     fn check_link(&self, rank: u8) -> Result<(), Refusal> {
         let (link, now) = (*self.board.link.lock(), self.board.clock.now());
@@ -314,6 +355,7 @@
             !server.is_leaving()
                 && server.pause_left().is_none()
                 && self.board.limit_wait(&server.entry).is_some_and(|wait| wait.is_zero())
+                && admitted.origin.as_ref().is_none_or(|origin| origin.version == server.entry.version)
                 && !admitted.tried_servers.contains(&server.entry.name)
                 && !barred.iter().any(|(weights, ..)| *weights == server.entry.weights)
         };
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -2,7 +2,7 @@
 //!
 //! A run of a server that is leaving stays so, whatever older entries of it are read later.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,6 +11,7 @@
 use coltsfootpick_core::names::{BackendServerName, ServiceName, SoftwareVersion};
 use coltsfootpick_core::selection::{Location, ServerLoad};
 use coltsfootpick_core::server_limits::ServerRun;
+use coltsfootpick_core::stream_origins::StreamOrigin;
 use parking_lot::{Mutex, RwLock};
 use tokio::time::Instant;
 
@@ -183,6 +184,20 @@
         service_servers.map(|servers| servers.read().values().cloned().collect()).unwrap_or_default()
     }
 
+    /// Service and software version of every server that takes new work.
+    pub fn origins(&self) -> BTreeSet<StreamOrigin> {
+        let mut origins = BTreeSet::new();
+        for (service, servers) in &*self.services.read() {
+            let servers = servers.read();
+            let versions: BTreeSet<&SoftwareVersion> =
+                servers.values().filter(|server| !server.is_leaving()).map(|server| &server.entry.version).collect();
+            let origin =
+                |version: &SoftwareVersion| StreamOrigin { service: service.clone(), version: version.clone() };
+            origins.extend(versions.into_iter().map(origin));
+        }
+        origins
+    }
+
     /// Service that the server `name` belongs to, if it is known.
     pub fn service_of(&self, name: &BackendServerName) -> Option<ServiceName> {
         self.service_names.lock().get(name).cloned()
--- /dev/null
+++ b/crates/serving/src/stream_registry.rs
@@ -0,0 +1,181 @@
+//! Tells the other instances which software version began each stream, and learns it from them when a caller takes a
+//! stream up. See `docs/ROUTING.md#versions`.
+//!
+//! Each run keeps one record in the store and writes it only while servers of several versions serve. The records are
+//! read when a caller takes up a stream that this instance does not know.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootpick_core::ceilings::instance_of;
+use coltsfootpick_core::names::ServiceName;
+use coltsfootpick_core::stream_origins::{Continuation, ORIGIN_TTL, OriginReport, StreamKey};
+use coltsfootpick_wire::stream_origins::StreamRecordMessage;
+use prost::Message;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::blackboard::Blackboard;
+use crate::interfaces::{KeyedLog, KeyedRecord, Topic};
+use crate::log_event;
+use crate::log_events::LogEvent;
+use crate::topic_reader::read_newest;
+
+/// Shortest interval between two records.
+const WRITE_INTERVAL_MIN: Duration = Duration::from_millis(200);
+
+/// Interval between two records for each instance of the fleet, so that all together make at most 500 writes a second.
+const WRITE_INTERVAL_SHARE: Duration = Duration::from_millis(2);
+
+/// Longest wait for the records of the others.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Shortest pause between two reads of the records.
+const READ_PAUSE_MIN: Duration = Duration::from_millis(100);
+
+/// Bytes a second that all instances together read of the records at most, a quarter of what the store delivers.
+const READ_BYTES_PER_SECOND: f64 = 20e6;
+
+/// Time since the last answer of the store up to which the list of servers counts as complete.
+const LIST_AGE_MAX: Duration = Duration::from_secs(2);
+
+/// Clocks of two instances may differ by this much.
+const CLOCK_MARGIN: Duration = Duration::from_secs(5);
+
+/// Read of all records.
+#[derive(Clone, Copy, Debug)]
+struct LastRead {
+    began: Instant,
+    /// When the records may be read again.
+    next: Instant,
+}
+
+/// Registry of the streams that are or were open at any instance.
+#[derive(Debug)]
+pub struct StreamRegistry {
+    board: Arc<Blackboard>,
+    store: Arc<dyn KeyedLog>,
+    /// Key of the own record, which names this run.
+    run: Arc<str>,
+    started: Instant,
+    /// Last successful read of the records, which requests share that wait for one.
+    last_read: tokio::sync::Mutex<Option<LastRead>>,
+}
+
+impl StreamRegistry {
+    /// Creates the registry of the run `run`, which has the form `INSTANCE/RUN`.
+    pub fn new(board: Arc<Blackboard>, store: Arc<dyn KeyedLog>, run: Arc<str>) -> Arc<Self> {
+        Arc::new(Self { board, store, run, started: Instant::now(), last_read: tokio::sync::Mutex::default() })
+    }
+
+    /// Where a stream may go on that a caller takes up; reads the records of the others if this instance cannot tell.
+    pub async fn continuation(&self, key: Option<StreamKey>, service: &ServiceName) -> Continuation {
+        let knows_servers = self.started.elapsed() >= ORIGIN_TTL && self.board.store_silence() < LIST_AGE_MAX;
+        let known = self.known(key, service, knows_servers);
+        if known != Continuation::Unknown || !self.refresh().await {
+            return known;
+        }
+        self.known(key, service, true)
+    }
+
+    fn known(&self, key: Option<StreamKey>, service: &ServiceName, knows_servers: bool) -> Continuation {
+        let (now, present) = (self.board.clock.now(), self.board.servers.origins());
+        let mut origins = self.board.stream_origins.lock();
+        origins.note_servers(present, now);
+        origins.continuation(key, service, knows_servers, now)
+    }
+
+    /// Reads the records of all runs, unless that has just been done; returns whether it succeeded.
+    async fn refresh(&self) -> bool {
+        let asked = Instant::now();
+        let mut last_read = self.last_read.lock().await;
+        if last_read.is_some_and(|read| read.began >= asked || read.next > Instant::now()) {
+            return true;
+        }
+        let began = Instant::now();
+        let read = tokio::time::timeout(READ_TIMEOUT, read_newest(&*self.store, Topic::Streams)).await;
+        let Ok(Ok((records, _))) = read else { return false };
+        let bytes: usize = records.iter().filter_map(|record| Some(record.value.as_ref()?.len())).sum();
+        *last_read = Some(LastRead { began, next: began + self.read_pause(bytes) });
+        for record in records {
+            if let Some(reports) = self.decode(&record) {
+                self.board.stream_origins.lock().merge(reports, self.board.clock.now());
+            }
+        }
+        true
+    }
+
+    /// Pause after a read of `bytes`, so that unknown streams, which a caller may name at will, do not take the store's
+    /// bandwidth from the rest.
+    fn read_pause(&self, bytes: usize) -> Duration {
+        let size = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        let seconds = size(bytes) * size(self.board.fleet_size()) / READ_BYTES_PER_SECOND;
+        READ_PAUSE_MIN.max(Duration::from_secs_f64(seconds))
+    }
+
+    /// Reports of a record that may still matter.
+    fn decode(&self, record: &KeyedRecord) -> Option<Vec<OriginReport>> {
+        let message = match StreamRecordMessage::decode(record.value.clone()?) {
+            Ok(message) => message,
+            Err(error) => {
+                log_event!(LogEvent::RecordSkipped, "topic=streams key={:?} reason={error}", record.key);
+                return None;
+            }
+        };
+        let age = Duration::from_millis(self.board.clock.unix_millis().saturating_sub(message.at));
+        let reports = message.reports.into_iter().map(Into::into).collect();
+        Some(reports).filter(|_| age < ORIGIN_TTL + CLOCK_MARGIN)
+    }
+
+    /// Keeps the record of this run up to date until `stop` is cancelled.
+    pub async fn run(self: Arc<Self>, stop: CancellationToken) {
+        let mut is_written = false;
+        let mut has_cleaned = false;
+        while tokio::time::timeout(self.write_interval(), stop.cancelled()).await.is_err() {
+            let now = self.board.clock.now();
+            let present = self.board.servers.origins();
+            let (reports, has_news) = {
+                let mut origins = self.board.stream_origins.lock();
+                origins.note_servers(present, now);
+                (origins.own_reports(now), origins.take_news())
+            };
+            let is_due = has_news && (is_written || !reports.is_empty());
+            if is_due {
+                is_written = !reports.is_empty();
+                self.write(reports).await;
+            }
+            if !has_cleaned && self.started.elapsed() >= ORIGIN_TTL * 2 {
+                has_cleaned = self.remove_earlier_runs().await;
+            }
+        }
+    }
+
+    /// Interval between two records of one run.
+    pub fn write_interval(&self) -> Duration {
+        let fleet_size = u32::try_from(self.board.fleet_size()).unwrap_or(u32::MAX);
+        WRITE_INTERVAL_SHARE.saturating_mul(fleet_size).max(WRITE_INTERVAL_MIN)
+    }
+
+    async fn write(&self, reports: Vec<OriginReport>) {
+        let at = self.board.clock.unix_millis();
+        let message = StreamRecordMessage { at, reports: reports.into_iter().map(Into::into).collect() };
+        let value = Some(message.encode_to_vec().into()).filter(|_| !message.reports.is_empty());
+        let record = KeyedRecord { key: Arc::clone(&self.run), value };
+        if let Err(error) = self.store.append(Topic::Streams, None, vec![record]).await {
+            log::debug!("streams not written: {error}");
+            self.board.stream_origins.lock().repeat_reports();
+        }
+    }
+
+    /// Removes the records of earlier runs of this instance, whose streams have ended; true once that is done.
+    async fn remove_earlier_runs(&self) -> bool {
+        let Ok((records, _)) = read_newest(&*self.store, Topic::Streams).await else { return false };
+        let is_earlier = |key: &str| instance_of(key) == instance_of(&self.run) && *key != *self.run;
+        let earlier: Vec<KeyedRecord> = records
+            .into_iter()
+            .filter(|record| is_earlier(&record.key))
+            .map(|record| KeyedRecord { value: None, ..record })
+            .collect();
+        earlier.is_empty() || self.store.append(Topic::Streams, None, earlier).await.is_ok()
+    }
+}
--- a/crates/testkit/src/keyed_store.rs
+++ b/crates/testkit/src/keyed_store.rs
@@ -85,6 +85,7 @@
         Topic::Credit => "credit",
         Topic::Instances => "instances",
         Topic::Observations => "observations",
+        Topic::Streams => "streams",
     }
 }
 
--- a/crates/testkit/src/request_harness.rs
+++ b/crates/testkit/src/request_harness.rs
@@ -17,6 +17,7 @@
 use coltsfootpick_serving::request_handler::RequestHandler;
 use coltsfootpick_serving::retry_share::RetryLimit;
 use coltsfootpick_serving::servers::ServerEntry;
+use coltsfootpick_serving::stream_registry::StreamRegistry;
 use http::Method;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -97,7 +98,11 @@
         tokio::spawn(Arc::clone(&controller).run(stop.clone()));
         tokio::spawn(Arc::clone(&controller).settle_loans(stop.clone()));
         observations::start(&board, &(Arc::new(store.clone()) as Arc<dyn KeyedLog>), &stop);
-        Self { handler: RequestHandler { board, credit: controller, protocol: Arc::new(PlainProtocol) }, stop }
+        let shared: Arc<dyn KeyedLog> = Arc::new(CountedLog::new(store.clone(), Arc::clone(&board)));
+        let streams = StreamRegistry::new(Arc::clone(&board), shared, Arc::clone(controller.holder()));
+        tokio::spawn(Arc::clone(&streams).run(stop.clone()));
+        let protocol = Arc::new(PlainProtocol);
+        Self { handler: RequestHandler { board, credit: controller, streams, protocol }, stop }
     }
 
     /// Waits until the instance has credit for the account.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,4 +13,5 @@
 mod peer_convert;
 pub mod platform;
 pub mod snapshot;
+pub mod stream_origins;
 pub mod stream_token;
