Write the origins of streams again after an older copy of the store

Cause: a run wrote its record only on news, so after an older copy had lost it nobody could continue its streams until it began another one.

--- a/crates/serving/src/observations.rs
+++ b/crates/serving/src/observations.rs
@@ -129,6 +129,7 @@
     fn note_restored(&mut self) {
         self.board.part_blame.lock().repeat_reports();
         self.board.server_limits.lock().repeat_reports();
+        self.board.stream_origins.lock().repeat_reports();
         self.board.observation_news.notify_one();
     }
 
--- a/crates/serving/tests/resumed_streams.rs
+++ b/crates/serving/tests/resumed_streams.rs
@@ -7,7 +7,7 @@
 use coltsfootpick_serving::outcome::{RequestOutcome, ResponseBody};
 use coltsfootpick_serving::request::{CallerRequest, ResumedStream};
 use coltsfootpick_serving::servers::ServerEntry;
-use coltsfootpick_testkit::keyed_store::KeyedStore;
+use coltsfootpick_testkit::keyed_store::{KeyedStore, StoreFault};
 use coltsfootpick_testkit::request_harness::{RequestHarness, request, server_entry};
 use coltsfootpick_testkit::scripted_server::{ScriptedServer, ServerAction, chunk, chunked_head, event};
 use futures_util::StreamExt;
@@ -128,6 +128,70 @@
     }
 }
 
+/// What happens between the begin of a stream and the caller's next try at an instance that started since.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Meanwhile {
+    /// The instance that began the stream dies.
+    Death,
+    /// The store comes back from a copy that lacks the records of streams.
+    OlderCopy,
+    /// The store does not answer.
+    Outage,
+}
+
+#[test_case(Meanwhile::Death)]
+#[test_case(Meanwhile::OlderCopy)]
+#[test_case(Meanwhile::Outage)]
+#[tokio::test]
+async fn told_to_late_starter(meanwhile: Meanwhile) {
+    let first = first_server(vec![ServerAction::Wait(Duration::from_secs(30))]).await;
+    let (newer, same) = (whole_server().await, whole_server().await);
+    let store = KeyedStore::default();
+    let here = start("edge-a", &store).await;
+    let id = begin(&here, &first, "v1").await;
+    list(&here, "b", &newer, "v1.1");
+    tokio::time::sleep(TOLD).await;
+    match meanwhile {
+        Meanwhile::Death => here.stop.cancel(),
+        Meanwhile::OlderCopy => store.restore_copy(TOLD * 2),
+        Meanwhile::Outage => {}
+    }
+    let there = start("edge-b", &store).await;
+    list(&there, "b", &newer, "v1.1");
+    list(&there, "c", &same, "v1");
+    if meanwhile == Meanwhile::Outage {
+        store.set_fault(StoreFault::Silent);
+    }
+    tokio::time::sleep(TOLD).await;
+    let asked = tokio::time::Instant::now();
+    let answer = read(there.handler.serve(take_up(Some(&id))).await).await;
+    assert_eq!(arrivals(&newer), 0, "the stream went on at another version");
+    match meanwhile {
+        Meanwhile::Outage => {
+            let refusal = answer.unwrap_err();
+            assert!(refusal.run == RunStatus::NotRun && refusal.retry_after.is_some(), "{refusal:?}");
+            assert!(asked.elapsed() < Duration::from_millis(600), "refused after {:?}", asked.elapsed());
+        }
+        _ => assert_eq!(answer.unwrap(), (events(4..=6), true)),
+    }
+}
+
+/// Unknown streams, which a caller may name at will, cost few reads.
+#[tokio::test]
+async fn flood_of_unknown() {
+    let (old, new) = (whole_server().await, whole_server().await);
+    let store = KeyedStore::default();
+    let harness = start("edge-a", &store).await;
+    list(&harness, "a", &old, "v1");
+    list(&harness, "b", &new, "v1.1");
+    let before = store.call_count();
+    for attempt in 0..500 {
+        read(harness.handler.serve(take_up(Some(&attempt.to_string()))).await).await.unwrap_err();
+    }
+    let calls = store.call_count() - before;
+    assert!(calls < 100, "{calls} calls to the store for 500 unknown streams");
+}
+
 #[test_case(None; "none is named")]
 #[test_case(Some("elsewhere"); "an unknown one is named")]
 #[tokio::test]
