Let an instance that has just started tell that all servers have one version

Change: the records of streams are read once at the start, after which its own list of servers tells the rest.

--- a/crates/serving/src/stream_registry.rs
+++ b/crates/serving/src/stream_registry.rs
@@ -5,6 +5,7 @@
 //! read when a caller takes up a stream that this instance does not know.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::instance_of;
@@ -58,6 +59,8 @@
     /// Key of the own record, which names this run.
     run: Arc<str>,
     started: Instant,
+    /// Whether the records were read, which tell of versions that have left before this run started.
+    has_read: AtomicBool,
     /// Last successful read of the records, which requests share that wait for one.
     last_read: tokio::sync::Mutex<Option<LastRead>>,
 }
@@ -65,12 +68,14 @@
 impl StreamRegistry {
     /// Creates the registry of the run `run`, which has the form `INSTANCE/RUN`.
     pub fn new(board: Arc<Blackboard>, store: Arc<dyn KeyedLog>, run: Arc<str>) -> Arc<Self> {
-        Arc::new(Self { board, store, run, started: Instant::now(), last_read: tokio::sync::Mutex::default() })
+        let (started, has_read, last_read) = (Instant::now(), AtomicBool::default(), tokio::sync::Mutex::default());
+        Arc::new(Self { board, store, run, started, has_read, last_read })
     }
 
     /// Where a stream may go on that a caller takes up; reads the records of the others if this instance cannot tell.
     pub async fn continuation(&self, key: Option<StreamKey>, service: &ServiceName) -> Continuation {
-        let knows_servers = self.started.elapsed() >= ORIGIN_TTL && self.board.store_silence() < LIST_AGE_MAX;
+        let knows_past = self.has_read.load(Ordering::Relaxed) || self.started.elapsed() >= ORIGIN_TTL;
+        let knows_servers = knows_past && self.board.store_silence() < LIST_AGE_MAX;
         let known = self.known(key, service, knows_servers);
         if known != Continuation::Unknown || !self.refresh().await {
             return known;
@@ -102,6 +107,7 @@
                 self.board.stream_origins.lock().merge(reports, self.board.clock.now());
             }
         }
+        self.has_read.store(true, Ordering::Relaxed);
         true
     }
 
@@ -132,6 +138,9 @@
         let mut is_written = false;
         let mut has_cleaned = false;
         while tokio::time::timeout(self.write_interval(), stop.cancelled()).await.is_err() {
+            if !self.has_read.load(Ordering::Relaxed) {
+                self.refresh().await;
+            }
             let now = self.board.clock.now();
             let present = self.board.servers.origins();
             let (reports, has_news) = {
