Split server choice and stream continuation from request handling

Change: server_choice.rs selects among the servers that take a request, stream_continuation.rs finds who can continue a stream.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod open_request;
 pub mod relay;
 pub mod request_handler;
+mod server_choice;
+mod stream_continuation;
 
 pub mod crash_detection;
 pub mod credit_controller;
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -8,11 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::refusal::{Code, Refusal};
-use coltsfootpick_core::routes::{AccountSpec, Route};
-use coltsfootpick_core::selection::{Candidate, Generation, Selection, SelectionRequest, choose};
-use coltsfootpick_core::stream_origins::{Continuation, StreamKey, StreamOrigin};
+use coltsfootpick_core::routes::AccountSpec;
+use coltsfootpick_core::selection::{Generation, Selection};
+use coltsfootpick_core::stream_origins::StreamKey;
 use coltsfootpick_core::units::Tokens;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -29,7 +28,7 @@
 use crate::open_request::OpenRequest;
 use crate::outcome::RequestOutcome;
 use crate::relay;
-use crate::request::{CallerRequest, ResumedStream};
+use crate::request::CallerRequest;
 use crate::servers::Server;
 use crate::stream_registry::StreamRegistry;
 
@@ -91,13 +90,6 @@
     }
 }
 
-/// Keeps the servers at which fewest requests of this instance are open, so that a crash costs few of them.
-fn keep_least_used(servers: &mut Vec<&Arc<Server>>) {
-    let open = |server: &Arc<Server>| server.load.lock().open();
-    let least = servers.iter().map(|server| open(server)).min();
-    servers.retain(|server| Some(open(server)) == least);
-}
-
 impl RequestHandler {
     /// Serves one request; dropping the future cancels the request at its server.
     pub async fn serve(&self, request: CallerRequest) -> RequestOutcome {
@@ -174,39 +166,6 @@
         })
     }
 
-    /// Finds where a stream that the caller takes up began; `None` for other requests and while any server can continue it.
-    async fn find_origin(
-        &self,
-        request: &CallerRequest,
-        route: &Route,
-        service: &ServiceName,
-        stream: StreamKey,
-    ) -> Result<Option<StreamOrigin>, Refusal> {
-        let Some(ResumedStream { last_event, first_attempt }) = request.resumed.as_ref().filter(|_| route.streams)
-        else {
-            return Ok(None);
-        };
-        let key = first_attempt.as_ref().map(|_| stream);
-        let found = self.streams.continuation(key, service).await;
-        let (id, first) = (&request.id, first_attempt.as_deref().unwrap_or_default());
-        log_event!(LogEvent::StreamTakenUp, "request={id} stream={first:?} last={last_event:?} found=\"{found}\"");
-        Metrics::count(&self.board.metrics.streams_taken_up, found.name());
-        let lost = |reason: &str| Refusal::not_run(Code::StreamLost, format!("stream={first:?} {reason}"));
-        match found {
-            Continuation::Anywhere => Ok(None),
-            Continuation::Unknown => {
-                Err(lost("has no known software version").retry_after(self.streams.write_interval()))
-            }
-            Continuation::At(origin, _) if !route.split.iter().any(|(name, _)| *name == origin.service) => {
-                Err(lost("began at a service to which the route no longer leads"))
-            }
-            Continuation::At(origin, _) if !self.board.servers.origins().contains(&origin) => {
-                Err(lost("began at a software version of which no server is left"))
-            }
-            Continuation::At(origin, _) => Ok(Some(origin)),
-        }
-    }
-
     /// Refuses requests of ranks that a full network link does not take.
     fn check_link(&self, rank: u8) -> Result<(), Refusal> {
         let (link, now) = (*self.board.link.lock(), self.board.clock.now());
@@ -346,57 +305,6 @@
         Ok(ServerExchange { response, server: Arc::clone(server), guard })
     }
 
-    /// Selects a server of the service that takes new work and was not tried yet.
-    pub fn select_server(&self, admitted: &AdmittedRequest) -> Option<(Arc<Server>, Selection)> {
-        let servers = self.board.servers.of_service(&admitted.service);
-        let (parts, account) = (admitted.shared_parts(), admitted.account_name());
-        let barred = crash_detection::barred_weights(&self.board, &parts, &account, &servers);
-        let is_usable = |server: &&Arc<Server>| {
-            !server.is_leaving()
-                && server.pause_left().is_none()
-                && self.board.limit_wait(&server.entry).is_some_and(|wait| wait.is_zero())
-                && admitted.origin.as_ref().is_none_or(|origin| origin.version == server.entry.version)
-                && !admitted.tried_servers.contains(&server.entry.name)
-                && !barred.iter().any(|(weights, ..)| *weights == server.entry.weights)
-        };
-        let mut usable: Vec<&Arc<Server>> = servers.iter().filter(is_usable).collect();
-        if admitted.trial.is_some() {
-            keep_least_used(&mut usable);
-        }
-        let loads: Vec<_> = usable.iter().map(|server| server.load.lock()).collect();
-        let candidates: Vec<Candidate<'_>> = usable
-            .iter()
-            .zip(&loads)
-            .map(|(server, load)| Candidate {
-                name: &server.entry.name,
-                location: &server.entry.location,
-                load,
-                slots: server.entry.slots,
-            })
-            .collect();
-        let request = SelectionRequest {
-            generation: admitted.request.generation.as_ref(),
-            location: &self.board.instance.location,
-            now: self.board.clock.now(),
-        };
-        let selection = choose(&request, &candidates)?;
-        let server = usable[selection.index];
-        self.board.take_limit(&server.entry);
-        Some((Arc::clone(server), selection))
-    }
-
-    /// Shortest time until a server of `service` takes a request of this instance, if every one that stays is paused or
-    /// has reached its limit.
-    fn shortest_wait(&self, service: &ServiceName) -> Option<Duration> {
-        let servers = self.board.servers.of_service(service);
-        let wait = |server: &Arc<Server>| {
-            let pause = server.pause_left().unwrap_or_default();
-            self.board.limit_wait(&server.entry).map(|limit| limit.max(pause))
-        };
-        let waits: Vec<Duration> = servers.iter().filter(|server| !server.is_leaving()).filter_map(wait).collect();
-        waits.into_iter().min().filter(|wait| !wait.is_zero())
-    }
-
     /// Applies a failed dispatch, of which the caller received `events` events, to the health of its server.
     ///
     /// Returns the probe of the server if the request may be what crashed it, so that it must not be sent to another one
--- /dev/null
+++ b/crates/serving/src/server_choice.rs
@@ -0,0 +1,72 @@
+//! Selects the server for a dispatch among those that take the request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootpick_core::names::ServiceName;
+use coltsfootpick_core::selection::{Candidate, Selection, SelectionRequest, choose};
+
+use crate::admitted_request::AdmittedRequest;
+use crate::crash_detection;
+use crate::request_handler::RequestHandler;
+use crate::servers::Server;
+
+/// Keeps the servers at which fewest requests of this instance are open, so that a crash costs few of them.
+fn keep_least_used(servers: &mut Vec<&Arc<Server>>) {
+    let open = |server: &Arc<Server>| server.load.lock().open();
+    let least = servers.iter().map(|server| open(server)).min();
+    servers.retain(|server| Some(open(server)) == least);
+}
+
+impl RequestHandler {
+    /// Selects a server of the service that takes new work and was not tried yet.
+    pub fn select_server(&self, admitted: &AdmittedRequest) -> Option<(Arc<Server>, Selection)> {
+        let servers = self.board.servers.of_service(&admitted.service);
+        let (parts, account) = (admitted.shared_parts(), admitted.account_name());
+        let barred = crash_detection::barred_weights(&self.board, &parts, &account, &servers);
+        let is_usable = |server: &&Arc<Server>| {
+            !server.is_leaving()
+                && server.pause_left().is_none()
+                && self.board.limit_wait(&server.entry).is_some_and(|wait| wait.is_zero())
+                && admitted.origin.as_ref().is_none_or(|origin| origin.version == server.entry.version)
+                && !admitted.tried_servers.contains(&server.entry.name)
+                && !barred.iter().any(|(weights, ..)| *weights == server.entry.weights)
+        };
+        let mut usable: Vec<&Arc<Server>> = servers.iter().filter(is_usable).collect();
+        if admitted.trial.is_some() {
+            keep_least_used(&mut usable);
+        }
+        let loads: Vec<_> = usable.iter().map(|server| server.load.lock()).collect();
+        let candidates: Vec<Candidate<'_>> = usable
+            .iter()
+            .zip(&loads)
+            .map(|(server, load)| Candidate {
+                name: &server.entry.name,
+                location: &server.entry.location,
+                load,
+                slots: server.entry.slots,
+            })
+            .collect();
+        let request = SelectionRequest {
+            generation: admitted.request.generation.as_ref(),
+            location: &self.board.instance.location,
+            now: self.board.clock.now(),
+        };
+        let selection = choose(&request, &candidates)?;
+        let server = usable[selection.index];
+        self.board.take_limit(&server.entry);
+        Some((Arc::clone(server), selection))
+    }
+
+    /// Shortest time until a server of `service` takes a request of this instance, if every one that stays is paused or
+    /// has reached its limit.
+    pub fn shortest_wait(&self, service: &ServiceName) -> Option<Duration> {
+        let servers = self.board.servers.of_service(service);
+        let wait = |server: &Arc<Server>| {
+            let pause = server.pause_left().unwrap_or_default();
+            self.board.limit_wait(&server.entry).map(|limit| limit.max(pause))
+        };
+        let waits: Vec<Duration> = servers.iter().filter(|server| !server.is_leaving()).filter_map(wait).collect();
+        waits.into_iter().min().filter(|wait| !wait.is_zero())
+    }
+}
