Play lenders that die and freeze by turns in fleets of 18, 75 and 295

Cause: the simulation of whole fleets, which counts use by its own ledger, played no death of single lenders. Change: lenders_die_by_turns, with an outage of the store and accounts that are asked for twice what they paid for.

--- a/crates/core/tests/large_fleet.rs
+++ b/crates/core/tests/large_fleet.rs
@@ -69,6 +69,8 @@
     used: Vec<u64>,
     now: Instant,
     is_store_away: bool,
+    /// Lenders that neither write nor answer.
+    frozen: Vec<usize>,
     starts: u64,
     random: StdRng,
 }
@@ -111,6 +113,7 @@
             used: vec![0; ACCOUNTS],
             now: Instant(Duration::from_secs(1_000)),
             is_store_away: false,
+            frozen: Vec::new(),
             starts: 0,
             random: StdRng::seed_from_u64(seed),
         };
@@ -130,6 +133,24 @@
         self.runs = (0..size).map(run).collect();
     }
 
+    /// Kills one instance, which starts again at once; what its open requests reserved counts as used.
+    fn restart(&mut self, index: usize) {
+        let (ended, open) = std::mem::take(&mut self.open).into_iter().partition(|request| request.run == index);
+        self.open = open;
+        for OpenRequest { account, bound, .. } in ended {
+            self.used[account] += bound.0;
+        }
+        self.starts += 1;
+        let name: Arc<str> = format!("edge-{index}/{}", self.starts).into();
+        let dead = std::mem::replace(&mut self.runs[index].name, Arc::clone(&name));
+        self.runs[index].credit = HolderCredit::new(name, CeilingPolicy::default());
+        self.runs[index].table = CeilingTable::default();
+        self.runs[index].started = self.now;
+        for run in &mut self.runs {
+            run.credit.forget_lender(&dead);
+        }
+    }
+
     /// Reads the log and writes a record, as a lender does each [`WRITE_INTERVAL`].
     fn renew(&mut self, index: usize) {
         self.read(index);
@@ -178,7 +199,7 @@
         let mut lenders = self.fleet.lenders_of(&name);
         lenders[..LENDERS_PER_ACCOUNT].rotate_left(run % LENDERS_PER_ACCOUNT);
         for lender in lenders.iter().take(LENDERS_PER_ACCOUNT).map(|lender| index_of(lender)) {
-            if outcome != HeadroomOutcome::NoHeadroom || lender == run {
+            if outcome != HeadroomOutcome::NoHeadroom || lender == run || self.frozen.contains(&lender) {
                 continue;
             }
             let most = self.runs[run].credit.loan_target(&name, bound, now);
@@ -216,6 +237,10 @@
             for lender in self.runs[borrower].credit.lenders() {
                 let settlements = self.runs[borrower].credit.collect_settlements(&lender, now);
                 let at = index_of(instance_of(&lender));
+                // The settlement of a frozen lender is lost with its request.
+                if self.frozen.contains(&at) {
+                    continue;
+                }
                 for settlement in settlements {
                     self.runs[at].credit.apply_settlement(&settlement, now);
                 }
@@ -237,7 +262,10 @@
             }
             if is_due(WRITE_INTERVAL) && !self.is_store_away {
                 for lender in self.fleet.lenders().to_vec() {
-                    self.renew(index_of(&lender));
+                    let lender = index_of(&lender);
+                    if !self.frozen.contains(&lender) {
+                        self.renew(lender);
+                    }
                 }
             }
             for _ in 0..REQUESTS_PER_SECOND / 20 {
@@ -319,6 +347,28 @@
     assert!(after.refused * 4 < after.asked, "{after:?} after the death of all");
 }
 
+/// Lenders die and freeze by turns, also while the store is away; the accounts are asked for twice what they paid for.
+#[test_case(18, 7)]
+#[test_case(75, 8)]
+#[test_case(295, 9)]
+fn lenders_die_by_turns(size: usize, seed: u64) {
+    let mut simulation = Simulation::new(size, seed);
+    for prepaid in &mut simulation.prepaid {
+        *prepaid = Tokens(prepaid.0 / 4);
+    }
+    let lenders: Vec<usize> = simulation.fleet.lenders().iter().map(|lender| index_of(lender)).collect();
+    for round in 0..12 {
+        simulation.is_store_away = (4..7).contains(&round);
+        simulation.frozen = vec![lenders[(round + 1) % lenders.len()]];
+        simulation.restart(lenders[round % lenders.len()]);
+        simulation.restart((round * 7 + 3) % size);
+        simulation.play(2);
+    }
+    let used: u64 = simulation.used.iter().sum();
+    let prepaid: u64 = simulation.prepaid.iter().map(|prepaid| prepaid.0).sum();
+    assert!(used * 2 > prepaid, "{used} of {prepaid} tokens are used, so that nothing presses against the amounts");
+}
+
 #[test]
 fn borrowers_hold_nothing() {
     let mut simulation = Simulation::new(75, 6);
