Wait for all clocks that a record names before its reserve is released

Callers saw: nothing; an account could be overspent by a part of a reserve after a death of all while clocks were stepped. Cause: the first three clocks that were known decided how old a dead run's record was. Class: deciding by the first answers where the worst one counts.

--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -91,6 +91,12 @@
 /// Clocks that must be known before a reserve is released; with three, one clock that jumped back is outvoted.
 const CLOCKS_MIN: usize = 3;
 
+/// Time for which a new run waits for all clocks that the record of an earlier run names.
+const CLOCK_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Longest wait for the clocks of other instances; after it, an earlier run is closed without taking back its reserve.
+const CLOCK_TIMEOUT: Duration = Duration::from_millis(1_800);
+
 /// Age from which another holder's record is too old to serve as a witness of that holder's clock.
 const WITNESS_MAX_AGE: Duration = Duration::from_millis(1_500);
 
@@ -118,6 +124,17 @@
     pub suspects: Vec<SuspectReport>,
 }
 
+/// Age of a dead holder's newest record when its instance started again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordAge {
+    /// At most this much.
+    AtMost(Duration),
+    /// Not known, and not needed or not to be learned.
+    Unknown,
+    /// Further clocks may still tell.
+    Pending,
+}
+
 impl HolderRecord {
     /// Upper bound of the record's age by the clocks of several instances.
     ///
@@ -130,6 +147,21 @@
         oldest.map(|age| Duration::from_millis(*age))
     }
 
+    /// What the clocks known after `waited` tell of the record's age when the next run of `instance` started.
+    ///
+    /// All clocks that the record names are worth a short wait: the fewer decide, the likelier all of them have jumped.
+    pub fn age_at_start(&self, instance: &str, clocks: &BTreeMap<Arc<str>, u64>, waited: Duration) -> RecordAge {
+        let is_missing = |name: &str| !clocks.contains_key(name);
+        let lacks_clock = is_missing(instance) || self.witnesses.keys().any(|name| is_missing(name));
+        match self.max_age(instance, clocks) {
+            _ if !self.has_reserve() => RecordAge::Unknown,
+            _ if lacks_clock && waited < CLOCK_PATIENCE => RecordAge::Pending,
+            Some(age) => RecordAge::AtMost(age),
+            None if waited < CLOCK_TIMEOUT => RecordAge::Pending,
+            None => RecordAge::Unknown,
+        }
+    }
+
     /// Record that closes a dead holder whose newest record was at most `age` old when it died, if that is known; the
     /// part of each reserve that it cannot have used by then is released.
     ///
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::{
-    AccountCeiling, CeilingTable, HolderRecord, ISOLATION_TIMEOUT, RESERVE_DELAY, instance_of,
+    AccountCeiling, CeilingTable, HolderRecord, ISOLATION_TIMEOUT, RESERVE_DELAY, RecordAge, instance_of,
 };
 use coltsfootpick_core::headroom::CeilingPolicy;
 use coltsfootpick_core::holder_credit::{HeadroomOutcome, HolderCredit, PlannedAccount, RecordMetadata};
@@ -612,6 +612,22 @@
 
 /// A record names the witnesses that were read last: with older ones, the age of a dead run's record would be
 /// overestimated and its reserve kept.
+/// Three clocks that have jumped back together do not decide while others may still answer.
+#[test]
+fn all_clocks_asked() {
+    let mut written = record(10_000, &[("edge-1", 10_000), ("edge-2", 10_000), ("edge-3", 10_000), ("edge-4", 10_000)]);
+    let ceiling = AccountCeiling { reserve: Tokens(90), reserve_rate: Tokens(10), ..AccountCeiling::default() };
+    written.ceilings.insert(account(), ceiling);
+    let jumped = [("edge-0", 11_000), ("edge-1", 11_000), ("edge-2", 11_000)];
+    let all = clocks(&[&jumped[..], &[("edge-3", 16_000), ("edge-4", 16_000)]].concat());
+    let age = |known: &BTreeMap<_, _>, waited| written.age_at_start("edge-0", known, Duration::from_millis(waited));
+    assert_eq!(age(&clocks(&jumped), 300), RecordAge::Pending);
+    assert_eq!(age(&all, 300), RecordAge::AtMost(Duration::from_secs(6)));
+    assert_eq!(age(&clocks(&jumped), 1_100), RecordAge::AtMost(Duration::from_secs(1)), "the others may be dead");
+    assert_eq!(age(&clocks(&jumped[..2]), 1_100), RecordAge::Pending);
+    assert_eq!(age(&clocks(&jumped[..2]), 1_900), RecordAge::Unknown);
+}
+
 #[test]
 fn recent_witnesses() {
     let mut table = CeilingTable::default();
--- a/crates/serving/src/credit_recovery.rs
+++ b/crates/serving/src/credit_recovery.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootpick_core::ceilings::{HolderRecord, instance_of};
+use coltsfootpick_core::ceilings::{HolderRecord, RecordAge, instance_of};
 use coltsfootpick_core::units::Tokens;
 
 use crate::credit_controller::CreditController;
@@ -14,10 +14,6 @@
 use crate::peer_client::PeerRequest;
 use tokio::time::Instant;
 
-/// Longest wait for the clocks of other instances; after it, an earlier run is closed without taking back its reserve
-/// unless the known clocks prove that the reserve is unused.
-const CLOCK_TIMEOUT: Duration = Duration::from_millis(1_800);
-
 /// Maximum number of peers that are asked for their clocks at a time.
 const CLOCK_PEERS_MAX: usize = 8;
 
@@ -35,28 +31,30 @@
         };
         let clocks = self.start_times();
         // The store may answer long after the start, and the addresses of the peers are read from it as well.
-        let is_timed_out = match earlier.is_empty() {
-            true => false,
-            false => self.earlier_seen.get_or_init(Instant::now).elapsed() > CLOCK_TIMEOUT,
+        let waited = match earlier.is_empty() {
+            true => Duration::ZERO,
+            false => self.earlier_seen.get_or_init(Instant::now).elapsed(),
         };
         let mut closed = Vec::with_capacity(earlier.len());
         for (name, record) in earlier {
-            let age = record.max_age(instance, &clocks);
-            if age.is_some() || is_timed_out || !record.has_reserve() {
-                let last = record.to_closed(age, era);
-                let reserves =
-                    |record: &HolderRecord| record.ceilings.values().map(|entry| entry.reserve).sum::<Tokens>();
-                log_event!(
-                    LogEvent::RunClosed,
-                    "run={name} age={age:?} clocks={} reserves={} kept={}",
-                    clocks.len(),
-                    reserves(&record),
-                    reserves(&last)
-                );
-                closed.push((name, last));
-            } else {
-                self.request_clocks(&record);
-            }
+            let age = match record.age_at_start(instance, &clocks, waited) {
+                RecordAge::AtMost(age) => Some(age),
+                RecordAge::Unknown => None,
+                RecordAge::Pending => {
+                    self.request_clocks(&record);
+                    continue;
+                }
+            };
+            let last = record.to_closed(age, era);
+            let reserves = |record: &HolderRecord| record.ceilings.values().map(|entry| entry.reserve).sum::<Tokens>();
+            log_event!(
+                LogEvent::RunClosed,
+                "run={name} age={age:?} clocks={} reserves={} kept={}",
+                clocks.len(),
+                reserves(&record),
+                reserves(&last)
+            );
+            closed.push((name, last));
         }
         closed
     }
