Log the beginning of a stream's name only, and record resumable streams alone

Cause: a caller may name a stream by 64 KiB, which two log lines and the refusal repeated, and streams that no caller can take up filled the records; found while reading the diff. Change: 64 characters are logged; streams of routes that are not resumable are bound within their answer, but not told.

--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -181,7 +181,9 @@
         if self.splitter.events() > 0 && !self.is_noted {
             let ServerEntry { service, version, .. } = &server.entry;
             let origin = StreamOrigin { service: service.clone(), version: version.clone() };
-            board.stream_origins.lock().note_stream(self.admitted.stream, origin.clone(), board.clock.now());
+            if self.admitted.route.repeat == RepeatPolicy::Resumable {
+                board.stream_origins.lock().note_stream(self.admitted.stream, origin.clone(), board.clock.now());
+            }
             self.admitted.origin = Some(origin);
             self.is_noted = true;
         }
--- a/crates/serving/src/stream_continuation.rs
+++ b/crates/serving/src/stream_continuation.rs
@@ -11,6 +11,14 @@
 use crate::request::{CallerRequest, ResumedStream};
 use crate::request_handler::RequestHandler;
 
+/// Longest part of a caller's text that is logged, in characters.
+const EXCERPT_MAX: usize = 64;
+
+/// Beginning of a text that the caller chose, for the log.
+fn excerpt(text: &str) -> &str {
+    text.char_indices().nth(EXCERPT_MAX).map_or(text, |(end, _)| &text[..end])
+}
+
 impl RequestHandler {
     /// Finds where a stream that the caller takes up began; `None` for other requests and while any server can continue it.
     ///
@@ -30,7 +38,8 @@
         };
         let key = first_attempt.as_ref().map(|_| stream);
         let found = self.streams.continuation(key, service).await;
-        let (id, first) = (&request.id, first_attempt.as_deref().unwrap_or_default());
+        let (id, first, last_event) =
+            (&request.id, excerpt(first_attempt.as_deref().unwrap_or_default()), excerpt(last_event));
         log_event!(LogEvent::StreamTakenUp, "request={id} stream={first:?} last={last_event:?} found=\"{found}\"");
         Metrics::count(&self.board.metrics.streams_taken_up, found.name());
         let lost = |reason: &str| Refusal::not_run(Code::StreamLost, format!("stream={first:?} {reason}"));
--- a/crates/serving/tests/resumed_streams.rs
+++ b/crates/serving/tests/resumed_streams.rs
@@ -188,6 +188,18 @@
     assert_eq!(answer.unwrap(), (events(4..=6), true));
 }
 
+/// The caller chooses the name of the stream, which the refusal repeats in part.
+#[tokio::test]
+async fn long_name() {
+    let (old, new) = (whole_server().await, whole_server().await);
+    let harness = start("edge-a", &KeyedStore::default()).await;
+    list(&harness, "a", &old, "v1");
+    list(&harness, "b", &new, "v1.1");
+    let name = "é".repeat(32 << 10);
+    let refusal = read(harness.handler.serve(take_up(Some(&name))).await).await.unwrap_err();
+    assert!(refusal.detail.len() < 256, "{} bytes", refusal.detail.len());
+}
+
 /// An instance that has just started can tell at once that all servers have one version, also while the store is away.
 #[test_case(Duration::from_millis(100), true; "outage just begun")]
 #[test_case(Duration::from_millis(2_500), false; "list of servers too old")]
