Keep the random schedule of older copies as wide as before without restarts

Cause: the schedule kept the first record of the log in every older copy, which only runs that restart in it need; that narrowed the cases without restarts. Change: the first record is kept only where instances restart in the copy.

--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -236,8 +236,8 @@
     /// first, then every connected run writes its record again within two seconds.
     ///
     /// The copy keeps a record that no other connected run has read, unless its writer is one itself: nobody could
-    /// write it again, which is a loss that `docs/CREDIT.md#eras` states. It also keeps the first record, since a run that
-    /// finds none waits for the others before its first raise (`credit_renewal`).
+    /// write it again, which is a loss that `docs/CREDIT.md#eras` states. With restarts it also keeps the first record, since a
+    /// run that finds none waits for the others before its first raise (`credit_renewal`).
     fn restore_copy(&mut self, count: usize, restarted: &[usize]) {
         for index in restarted {
             self.kill(*index);
@@ -252,7 +252,8 @@
                 run.name == *writer || has_read
             })
         };
-        let lost = (1..=count.min(end.saturating_sub(1))).take_while(|back| is_known(end - back)).count();
+        let kept = usize::from(!restarted.is_empty());
+        let lost = (1..=count.min(end.saturating_sub(kept))).take_while(|back| is_known(end - back)).count();
         self.log.records.truncate(end - lost);
         self.log.next_sequences.clear();
         self.log.delayed.clear();
