Log the state of the path to the servers of each service

Cause: neither logs nor metrics tell servers that fail from an instance that has lost its links to all of them, nor whether a swallowed request used a kept connection. Change: path_health watches connections, answers and silences per service and logs its changes as CP1209 and coltsfootpick_path_changes; CP1301 names reused connections. Nothing acts on the state yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod ownership;
 pub mod part_blame;
 pub mod part_evidence;
+pub mod path_health;
 pub mod placement;
 pub mod prefixes;
 pub mod quarantine;
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -25,6 +25,7 @@
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::metrics::Metrics;
+use crate::paths::Paths;
 use crate::retry_share::{RetryLimit, RetryShare};
 use crate::servers::{ServerEntry, ServerTable};
 
@@ -88,6 +89,8 @@
     pub clock: InstanceClock,
     /// Backend servers.
     pub servers: ServerTable,
+    /// Paths of this instance to the servers of each service.
+    pub paths: Paths,
     /// Utilization of the network link.
     pub link: Mutex<LinkLoad>,
     /// Requests that are suspected of crashing servers.
@@ -127,10 +130,12 @@
 impl Blackboard {
     /// Creates the state of an instance that has just started.
     pub fn new(instance: InstanceSpec) -> Arc<Self> {
+        let (clock, metrics) = (InstanceClock::default(), Metrics::default());
         Arc::new(Self {
             link: Mutex::new(LinkLoad::new(instance.link_rate)),
             instance,
-            clock: InstanceClock::default(),
+            clock,
+            paths: Paths::new(clock, metrics.path_changes.clone()),
             servers: ServerTable::default(),
             quarantine: Mutex::default(),
             part_blame: Mutex::default(),
@@ -138,7 +143,7 @@
             server_limits: Mutex::default(),
             observation_news: Notify::new(),
             buffered: BufferedTotal::default(),
-            metrics: Metrics::default(),
+            metrics,
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
             stopped: CancellationToken::new(),
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::interfaces::{BackendProtocol, DispatchContext, ResponseKind, ServerNotice};
 use crate::log_event;
 use crate::log_events::LogEvent;
+use crate::paths::ServicePath;
 use crate::pool::Lease;
 use crate::request::CallerRequest;
 use crate::servers::Server;
@@ -55,6 +56,7 @@
 #[derive(Debug)]
 pub struct DispatchGuard {
     server: Arc<Server>,
+    path: Arc<ServicePath>,
     uncached: u64,
     predicted_ms: f64,
     started: Instant,
@@ -71,8 +73,11 @@
     ) -> Self {
         let parts = generation.map_or(&[][..], |generation| &generation.parts);
         server.load.lock().note_start(parts, selection.uncached, board.clock.now());
+        let path = board.paths.of(&server.entry.service);
+        path.note_sent();
         Self {
             server: Arc::clone(server),
+            path,
             uncached: selection.uncached,
             predicted_ms: selection.predicted,
             started: Instant::now(),
@@ -87,6 +92,11 @@
         }
     }
 
+    /// Records that the server sent something.
+    pub fn note_heard(&self) {
+        self.path.note_heard();
+    }
+
     /// Time since the dispatch started.
     pub fn elapsed(&self) -> Duration {
         self.started.elapsed()
@@ -100,6 +110,8 @@
             load.note_unanswered(self.uncached);
         }
         load.note_end();
+        drop(load);
+        self.path.note_ended();
     }
 }
 
@@ -205,10 +217,12 @@
     context: &DispatchContext<'_>,
     deadline: Instant,
 ) -> Result<ServerResponse, DispatchError> {
+    let path = board.paths.of(&server.entry.service);
     let mut lease = match server.pool.take_idle() {
         Some(lease) => lease,
-        None => connect(board, server, deadline).await?,
+        None => connect(board, server, &path, deadline).await?,
     };
+    let reused = lease.reused;
     let encoded = protocol.encode(request, context);
     let response = match tokio::time::timeout_at(deadline, lease.sender.try_send_request(encoded)).await {
         Ok(Ok(response)) => response,
@@ -216,11 +230,12 @@
             // hyper returns the request if it has written none of it.
             return Err(match error.take_message() {
                 Some(_) => DispatchError::NotSent(error.error().to_string()),
-                None => DispatchError::Unknown(error.error().to_string()),
+                None => DispatchError::Unknown(format!("{} reused={reused}", error.error())),
             });
         }
         Err(_) => return Err(DispatchError::DeadlinePassed),
     };
+    path.note_heard();
     let (head, body) = response.into_parts();
     let kind = protocol.classify_head(request, &head);
     if kind != ResponseKind::OtherServer {
@@ -237,14 +252,25 @@
     }
 }
 
-async fn connect(board: &Blackboard, server: &Server, deadline: Instant) -> Result<Lease, DispatchError> {
+async fn connect(
+    board: &Blackboard,
+    server: &Server,
+    path: &ServicePath,
+    deadline: Instant,
+) -> Result<Lease, DispatchError> {
     let table = board.routes();
     let spec = table.as_ref().and_then(|table| table.service(&server.entry.service));
     let fleet_limit = spec.map_or(usize::MAX, |spec| spec.connections as usize);
     let limit = (fleet_limit / board.fleet_size()).max(1);
     match tokio::time::timeout_at(deadline, server.pool.connect(limit)).await {
-        Ok(Ok(lease)) => Ok(lease),
-        Ok(Err(error)) => Err(DispatchError::NotSent(error.to_string())),
+        Ok(Ok(lease)) => {
+            path.note_connected();
+            Ok(lease)
+        }
+        Ok(Err(error)) => {
+            path.note_connect_error(&server.entry.name, &error, board.servers.usable_count(&server.entry.service));
+            Err(DispatchError::NotSent(error.to_string()))
+        }
         Err(_) => Err(DispatchError::NotSent("no time left to connect".to_owned())),
     }
 }
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -45,6 +45,8 @@
     ServerLimited,
     /// A response of a backend server exceeded a size limit, and its connection was closed.
     ResponseOversized,
+    /// The path of this instance to the servers of a service changed.
+    PathChanged,
     /// A request was dispatched to a backend server.
     Dispatched,
     /// A dispatch brought no response that could be relayed.
@@ -120,6 +122,7 @@
         Self::ServerPaused,
         Self::ServerLimited,
         Self::ResponseOversized,
+        Self::PathChanged,
         Self::Dispatched,
         Self::DispatchFailed,
         Self::StreamResumed,
@@ -170,6 +173,7 @@
             Self::ServerPaused => "CP1206",
             Self::ResponseOversized => "CP1207",
             Self::ServerLimited => "CP1208",
+            Self::PathChanged => "CP1209",
             Self::Dispatched => "CP1300",
             Self::DispatchFailed => "CP1301",
             Self::StreamResumed => "CP1302",
@@ -209,6 +213,7 @@
             | Self::ServerLapsed
             | Self::ServerEjected
             | Self::ResponseOversized
+            | Self::PathChanged
             | Self::DispatchFailed
             | Self::StreamAborted
             | Self::CeilingsUncertain
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -30,6 +30,8 @@
     pub tokens: Counter,
     /// Streams that callers took up, by what was known of their origin.
     pub streams_taken_up: Family<Label, Counter>,
+    /// Changes of the paths to the servers of a service, by the new state.
+    pub path_changes: Family<Label, Counter>,
     /// Pauses that servers asked for.
     pub server_pauses: Counter,
     /// Prompt parts that are convicted of crashing servers.
@@ -55,6 +57,7 @@
             store_latency: Histogram::new(BUCKETS),
             tokens: Counter::default(),
             streams_taken_up: Family::default(),
+            path_changes: Family::default(),
             server_pauses: Counter::default(),
             convicted_parts: Gauge::default(),
             limited_servers: Gauge::default(),
@@ -80,6 +83,8 @@
         registry.register("settled_tokens", "Tokens settled", self.tokens.clone());
         let taken_up = self.streams_taken_up.clone();
         registry.register("streams_taken_up", "Streams that callers took up, by what was known of them", taken_up);
+        let paths = self.path_changes.clone();
+        registry.register("path_changes", "Changes of the paths to the servers of a service, by new state", paths);
         registry.register("server_pauses", "Pauses that servers asked for", self.server_pauses.clone());
         let parts = self.convicted_parts.clone();
         registry.register("convicted_parts", "Prompt parts that are convicted of crashing servers", parts);
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -145,6 +145,7 @@
                         self.handler.board.note_traffic(events.len(), CHUNK_OVERHEAD_BYTES);
                         self.admitted.trial = None;
                         self.note_origin(&exchange.server);
+                        exchange.guard.note_heard();
                         self.current = Some(exchange);
                         return StreamStep::Events(events);
                     }
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -184,6 +184,13 @@
         service_servers.map(|servers| servers.read().values().cloned().collect()).unwrap_or_default()
     }
 
+    /// Number of servers of `service` that take new work.
+    pub fn usable_count(&self, service: &ServiceName) -> usize {
+        let service_servers = self.services.read().get(service).cloned();
+        let usable = |servers: &ServiceServers| servers.values().filter(|server| !server.is_leaving()).count();
+        service_servers.map_or(0, |servers| usable(&servers.read()))
+    }
+
     /// Service and software version of every server that takes new work.
     pub fn origins(&self) -> BTreeSet<StreamOrigin> {
         let mut origins = BTreeSet::new();
