--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -16,6 +16,17 @@
 
 const BUFFER_BYTES: usize = 16 << 10;
 
+/// How a partition shows at the client's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Open connections go silent, and new ones get no answer.
+    Hang,
+    /// Open connections are reset, and new ones are refused.
+    Reset,
+    /// Open connections go on, and new ones are refused.
+    RefuseNew,
+}
+
 /// TCP relay that runs until it is dropped.
 #[derive(Debug)]
 pub struct TcpRelay {
@@ -34,6 +45,7 @@
     drop_responses: AtomicBool,
     connections: AtomicU64,
     drop_prefix: Mutex<Option<Vec<u8>>>,
+    cut: watch::Sender<Option<Cut>>,
 }
 
 impl State {
@@ -68,6 +80,21 @@
         self.state.close_count.send_modify(|count| *count += 1);
     }
 
+    /// Partitions the client from the target until [`Self::heal`].
+    pub fn cut(&self, cut: Cut) {
+        self.state.cut.send_replace(Some(cut));
+        match cut {
+            Cut::Hang => self.silence(),
+            Cut::Reset => self.close_connections(),
+            Cut::RefuseNew => {}
+        }
+    }
+
+    /// Ends a partition; connections that went silent stay so.
+    pub fn heal(&self) {
+        self.state.cut.send_replace(None);
+    }
+
     /// From now on, delays data in both directions by `span` for each read.
     pub fn set_delay(&self, span: Duration) {
         self.state.delay_ms.store(u64::try_from(span.as_millis()).unwrap_or(u64::MAX), Ordering::SeqCst);
@@ -100,15 +127,62 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: Arc<State>) {
+/// Pause before binding an address again that is still in use.
+const BIND_PAUSE: Duration = Duration::from_millis(5);
+
+/// Listens at `address` with a queue for `backlog` connections.
+async fn listen(address: SocketAddr, backlog: u32) -> TcpListener {
+    loop {
+        let socket = TcpSocket::new_v4().expect("a socket can be created");
+        let bound = socket.set_reuseaddr(true).and_then(|()| socket.bind(address));
+        match bound.and_then(|()| socket.listen(backlog)) {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(BIND_PAUSE).await,
+        }
+    }
+}
+
+/// Length of the queue of connections that are not accepted yet.
+const BACKLOG: u32 = 1_024;
+
+async fn accept(mut listener: TcpListener, target: SocketAddr, state: Arc<State>) {
+    let address = listener.local_addr().expect("a bound socket has an address");
+    let mut cuts = state.cut.subscribe();
+    loop {
+        let cut = *cuts.borrow_and_update();
+        let Some(cut) = cut else {
+            tokio::select! {
+                () = relay_connections(&listener, target, &state) => return,
+                _ = cuts.changed() => continue,
+            }
+        };
+        drop(listener);
+        // A listener whose queue is full gives new connections no answer.
+        let blocker = match cut {
+            Cut::Hang => {
+                let full = listen(address, 0).await;
+                let waiting = [TcpStream::connect(address).await, TcpStream::connect(address).await];
+                Some((full, waiting))
+            }
+            Cut::Reset | Cut::RefuseNew => None,
+        };
+        while cuts.borrow_and_update().is_some() {
+            let _ = cuts.changed().await;
+        }
+        drop(blocker);
+        listener = listen(address, BACKLOG).await;
+    }
+}
+
+async fn relay_connections(listener: &TcpListener, target: SocketAddr, state: &Arc<State>) {
     while let Ok((client, _)) = listener.accept().await {
         let Ok(server) = TcpStream::connect(target).await else { continue };
         state.connections.fetch_add(1, Ordering::SeqCst);
         let epoch = state.epoch.load(Ordering::SeqCst);
         let (client_read, client_write) = client.into_split();
         let (server_read, server_write) = server.into_split();
-        tokio::spawn(copy(client_read, server_write, Arc::clone(&state), epoch, false));
-        tokio::spawn(copy(server_read, client_write, Arc::clone(&state), epoch, true));
+        tokio::spawn(copy(client_read, server_write, Arc::clone(state), epoch, false));
+        tokio::spawn(copy(server_read, client_write, Arc::clone(state), epoch, true));
     }
 }
 
@@ -119,7 +193,10 @@
         let is_silent = || state.epoch.load(Ordering::SeqCst) != epoch;
         let read = tokio::select! {
             read = from.read(&mut buffer) => read,
-            _ = closes.changed() => return,
+            _ = closes.changed() => {
+                let _ = from.as_ref().set_zero_linger();
+                return;
+            }
         };
         let count = match read {
             // Keeps the other half open, since the far end of a silent connection does not see a close.
