Forward requests to a peer while an instance has lost its path to the servers

Cause: the instance that took a request was the only one that could send it, and the loss of all its links looked like failures of many servers, found out by each request anew. Class: a fault of the observer taken for a fault of what it observes. Change: the path to each service is judged on its own (path_health), probed and given back gradually; requests go to a peer that has a path, which handles them as its own callers', over connections of their own. No server, request or part is blamed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod document;
 pub mod document_diff;
 pub mod environments;
+pub mod forward_peers;
 pub mod gossip;
 pub mod headroom;
 pub mod holder_credit;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -95,6 +95,34 @@
 }
 
 impl Code {
+    /// Every code.
+    pub const ALL: [Self; 19] = [
+        Self::BadRequest,
+        Self::Unauthorized,
+        Self::UnknownService,
+        Self::KeyRequired,
+        Self::KeyReused,
+        Self::InProgress,
+        Self::EndUnknown,
+        Self::BudgetExhausted,
+        Self::CreditUnavailable,
+        Self::LogUnavailable,
+        Self::NoBackendServer,
+        Self::Overloaded,
+        Self::BackendFailed,
+        Self::Quarantined,
+        Self::StreamLost,
+        Self::Draining,
+        Self::TooLarge,
+        Self::TooSlow,
+        Self::DeadlinePassed,
+    ];
+
+    /// Code that is displayed as `text`.
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|code| code.to_string() == text)
+    }
+
     /// Returns the HTTP status of a response with this code.
     pub const fn status(self) -> u16 {
         match self {
--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -198,6 +198,13 @@
         until
     }
 
+    /// Ends an ejection and forgets the failures that led to it, since they were not the server's.
+    pub const fn forgive(&mut self) {
+        self.failures = 0;
+        self.failure_rate = 0.0;
+        self.ejected_until = None;
+    }
+
     /// Returns whether the server is ejected after failures.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| until > now)
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -179,6 +179,11 @@
         true
     }
 
+    /// Version of the document in force, 0 before the first one.
+    pub fn document_version(&self) -> u64 {
+        *self.document_versions.borrow()
+    }
+
     /// Watches the version of the document in force.
     pub fn document_versions(&self) -> watch::Receiver<u64> {
         self.document_versions.subscribe()
--- a/crates/serving/src/crash_detection.rs
+++ b/crates/serving/src/crash_detection.rs
@@ -22,6 +22,7 @@
 use crate::blackboard::Blackboard;
 use crate::log_event;
 use crate::log_events::LogEvent;
+use crate::path_controller;
 use crate::pool::ConnectError;
 use crate::request::CallerRequest;
 use crate::servers::Server;
@@ -235,6 +236,10 @@
             }
             Err(error) => error,
         };
+        if !path_controller::confirm_path(&board, &server.entry.service, &server.entry.name).await {
+            log::debug!("request {id}: server {} is not blamed, since others fail too", server.entry.name);
+            return false;
+        }
         let now = board.clock.now();
         let loss = Loss { server: server.entry.name.clone(), number: rand::random() };
         let status = board.quarantine.lock().record_loss(fingerprint, loss, now);
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -40,6 +40,9 @@
     /// The request may have run.
     #[display("unknown: {_0}")]
     Unknown(String),
+    /// The path to the server was lost after the request was sent; it may have run.
+    #[display("path-lost")]
+    PathLost,
     /// The deadline passed after the request was sent; it may have run.
     #[display("late")]
     DeadlinePassed,
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -6,13 +6,15 @@
 
 use bytes::Bytes;
 use coltsfootpick_core::names::ClientAccountName;
+use coltsfootpick_core::refusal::Refusal;
 use coltsfootpick_core::routes::RouteTable;
 use coltsfootpick_core::units::LogPosition;
 use derive_more::{Display, Error};
 use futures_util::future::BoxFuture;
-use http::Request;
 use http::response::Parts;
+use http::{HeaderMap, Request};
 use http_body_util::Full;
+use tokio::time::Instant;
 
 use crate::request::CallerRequest;
 use crate::servers::ServerEntry;
@@ -184,6 +186,19 @@
     pub invalid_limit: Option<String>,
 }
 
+/// Protocol spoken with callers, as far as requests are forwarded between instances in it.
+pub trait CallerProtocol: Send + Sync + Debug {
+    /// Headers of a request as its caller sent them, with the caller's key, and with `remaining` as the time left.
+    fn encode_headers(&self, request: &CallerRequest, remaining: Duration) -> HeaderMap;
+
+    /// Decodes a request whose body was read, and removes what callers may not set.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a malformed request.
+    fn decode(&self, head: http::request::Parts, body: Bytes, arrived: Instant) -> Result<CallerRequest, Refusal>;
+}
+
 /// Protocol spoken with the backend servers.
 pub trait BackendProtocol: Send + Sync + Debug {
     /// Encodes a caller's request for a backend server.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,8 +7,10 @@
 //! dispatch, credit and shutdown; controllers that follow the store; shared state; types and utilities.
 
 pub mod admitted_request;
+pub mod forward_server;
 pub mod open_request;
 pub mod relay;
+mod request_admission;
 pub mod request_handler;
 mod server_choice;
 mod stream_continuation;
@@ -20,6 +22,8 @@
 mod credit_renewal;
 pub mod dispatch;
 pub mod drain;
+pub mod forward_link;
+pub mod forwarder;
 pub mod observations;
 pub mod peer_client;
 pub mod peer_list;
@@ -27,6 +31,7 @@
 pub mod stream_registry;
 
 pub mod document_controller;
+pub mod path_controller;
 pub mod server_controller;
 pub mod topic_reader;
 
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -69,6 +69,10 @@
     RetryShareSet,
     /// A caller takes up a stream of which it has received events.
     StreamTakenUp,
+    /// A request was forwarded to another instance, since this one has no path to the servers.
+    Forwarded,
+    /// A request that another instance forwarded was taken.
+    ForwardTaken,
     /// Credit ceilings were written.
     CeilingsWritten,
     /// A write of credit ceilings has an unknown outcome.
@@ -134,6 +138,8 @@
         Self::RetryDenied,
         Self::RetryShareSet,
         Self::StreamTakenUp,
+        Self::Forwarded,
+        Self::ForwardTaken,
         Self::CeilingsWritten,
         Self::CeilingsUncertain,
         Self::CreditLent,
@@ -185,6 +191,8 @@
             Self::RetryDenied => "CP1308",
             Self::RetryShareSet => "CP1309",
             Self::StreamTakenUp => "CP1310",
+            Self::Forwarded => "CP1311",
+            Self::ForwardTaken => "CP1312",
             Self::CeilingsWritten => "CP1400",
             Self::CeilingsUncertain => "CP1401",
             Self::CreditLent => "CP1403",
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -32,6 +32,8 @@
     pub streams_taken_up: Family<Label, Counter>,
     /// Changes of the paths to the servers of a service, by the new state.
     pub path_changes: Family<Label, Counter>,
+    /// Requests forwarded to other instances, by outcome.
+    pub forwards: Family<Label, Counter>,
     /// Pauses that servers asked for.
     pub server_pauses: Counter,
     /// Prompt parts that are convicted of crashing servers.
@@ -58,6 +60,7 @@
             tokens: Counter::default(),
             streams_taken_up: Family::default(),
             path_changes: Family::default(),
+            forwards: Family::default(),
             server_pauses: Counter::default(),
             convicted_parts: Gauge::default(),
             limited_servers: Gauge::default(),
@@ -85,6 +88,8 @@
         registry.register("streams_taken_up", "Streams that callers took up, by what was known of them", taken_up);
         let paths = self.path_changes.clone();
         registry.register("path_changes", "Changes of the paths to the servers of a service, by new state", paths);
+        let forwards = self.forwards.clone();
+        registry.register("forwards", "Requests forwarded to other instances, by outcome", forwards);
         registry.register("server_pauses", "Pauses that servers asked for", self.server_pauses.clone());
         let parts = self.convicted_parts.clone();
         registry.register("convicted_parts", "Prompt parts that are convicted of crashing servers", parts);
--- a/crates/serving/src/open_request.rs
+++ b/crates/serving/src/open_request.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use coltsfootpick_core::link_load::ANSWER_OVERHEAD_BYTES;
+use coltsfootpick_core::link_load::{ANSWER_OVERHEAD_BYTES, CHUNK_OVERHEAD_BYTES};
 use coltsfootpick_core::refusal::Refusal;
+use futures_util::{StreamExt, stream};
 use http::response::Parts;
 use tokio::time::Instant;
 
@@ -67,6 +68,50 @@
     }
 }
 
+impl OpenRequest {
+    /// Ends the request with the answer that `peer` passes on; a stream ends later.
+    pub fn relay_forwarded(mut self, peer: &str, head: Parts, body: ResponseBody) -> RequestOutcome {
+        let events = match body {
+            ResponseBody::Buffered(bytes) => {
+                self.board.note_traffic(bytes.len(), ANSWER_OVERHEAD_BYTES);
+                self.end_forwarded(peer, &head);
+                return RequestOutcome::Relayed(Box::new(head), ResponseBody::Buffered(bytes));
+            }
+            ResponseBody::Events(events) => events,
+        };
+        let (peer, status): (Arc<str>, Parts) = (peer.into(), head.clone());
+        let counted = stream::unfold(Some((events, self)), move |state| {
+            let (peer, status) = (Arc::clone(&peer), status.clone());
+            async move {
+                let (mut events, mut open) = state?;
+                match events.next().await {
+                    Some(Ok(piece)) => {
+                        open.board.note_traffic(piece.len(), CHUNK_OVERHEAD_BYTES);
+                        Some((Ok(piece), Some((events, open))))
+                    }
+                    Some(Err(error)) => {
+                        let (id, ms) = (&open.id, open.millis());
+                        log_event!(LogEvent::StreamAborted, "request={id} peer={peer} ms={ms} reason=\"{error}\"");
+                        open.end("cut");
+                        Some((Err(error), None))
+                    }
+                    None => {
+                        open.end_forwarded(&peer, &status);
+                        None
+                    }
+                }
+            }
+        });
+        RequestOutcome::Relayed(Box::new(head), ResponseBody::Events(Box::pin(counted)))
+    }
+
+    fn end_forwarded(&mut self, peer: &str, head: &Parts) {
+        let status = head.status.as_u16();
+        log_event!(LogEvent::Answered, "request={} peer={peer} status={status} ms={}", self.id, self.millis());
+        self.end(if head.status.is_success() { "forwarded" } else { "failure-relayed" });
+    }
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         if !self.has_ended {
--- a/crates/serving/src/paths.rs
+++ b/crates/serving/src/paths.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use coltsfootpick_core::names::{BackendServerName, ServiceName};
-use coltsfootpick_core::path_health::{ConnectFailure, PathChange, PathHealth, PathState};
+use coltsfootpick_core::path_health::{ConnectFailure, PathChange, PathHealth, PathState, SUSPICION_MAX};
 use parking_lot::{Mutex, RwLock};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -24,9 +25,66 @@
     changes: Family<Label, Counter>,
     health: Mutex<PathHealth>,
     states: watch::Sender<PathState>,
+    /// Whether a probe is under way.
+    probing: AtomicBool,
 }
 
 impl ServicePath {
+    /// State of the path.
+    pub fn state(&self) -> PathState {
+        *self.states.borrow()
+    }
+
+    /// Waits while the path is suspected, and returns whether a request should use it.
+    pub async fn is_usable(&self) -> bool {
+        let mut states = self.states();
+        let verdict = states.wait_for(|state| *state != PathState::Suspect);
+        let _ = tokio::time::timeout(SUSPICION_MAX, verdict).await;
+        let health = self.health.lock();
+        match health.state() {
+            PathState::Sound | PathState::Suspect => true,
+            PathState::Lost => health.may_use_open(),
+            PathState::Returning => rand::random::<f64>() < health.direct_share(self.clock.now()),
+        }
+    }
+
+    /// Whether only connections that are open already may still work.
+    pub fn is_lost(&self) -> bool {
+        self.state() == PathState::Lost
+    }
+
+    /// Waits until the path is lost and open connections with it.
+    pub async fn lost_silently(&self) {
+        let mut states = self.states();
+        loop {
+            let is_lost = states.wait_for(|state| *state == PathState::Lost).await.is_ok();
+            if !is_lost {
+                return std::future::pending().await;
+            }
+            if !self.health.lock().may_use_open() {
+                return;
+            }
+            if states.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Whether `server` could not be connected to since the last success.
+    pub fn has_failed(&self, server: &BackendServerName) -> bool {
+        self.health.lock().has_failed(server)
+    }
+
+    /// Begins a probe unless one is under way.
+    pub fn begin_probe(&self) -> bool {
+        !self.probing.swap(true, Ordering::AcqRel)
+    }
+
+    /// Ends a probe.
+    pub fn end_probe(&self) {
+        self.probing.store(false, Ordering::Release);
+    }
+
     /// Watches the state of the path.
     pub fn states(&self) -> watch::Receiver<PathState> {
         self.states.subscribe()
@@ -111,6 +169,7 @@
                 changes: self.changes.clone(),
                 health: Mutex::new(PathHealth::new(self.clock.now())),
                 states: watch::Sender::new(PathState::Sound),
+                probing: AtomicBool::new(false),
             })
         });
         Arc::clone(path)
--- a/crates/serving/src/peer_list.rs
+++ b/crates/serving/src/peer_list.rs
@@ -12,6 +12,7 @@
 
 use crate::blackboard::{Blackboard, InstanceSpec};
 use crate::credit_controller::CreditController;
+use crate::forwarder::Forwarder;
 use crate::interfaces::{KeyedLog, KeyedRecord, Topic};
 use crate::log_event;
 use crate::log_events::LogEvent;
@@ -21,12 +22,18 @@
 const PUBLISH_RETRY: Duration = Duration::from_millis(500);
 
 /// Record that publishes the address, zone and capacity of this run.
-pub fn instance_record(instance: &InstanceSpec, address: SocketAddr, holder: &Arc<str>) -> KeyedRecord {
+pub fn instance_record(
+    instance: &InstanceSpec,
+    address: SocketAddr,
+    forwards: SocketAddr,
+    holder: &Arc<str>,
+) -> KeyedRecord {
     let message = InstanceMessage {
         address: address.to_string(),
         holder: holder.to_string(),
         zone: instance.location.zone.to_string(),
         capacity: instance.capacity,
+        forwards: forwards.to_string(),
     };
     KeyedRecord { key: Arc::clone(&instance.name), value: Some(message.encode_to_vec().into()) }
 }
@@ -42,11 +49,20 @@
     }
 }
 
+/// Instance as its record describes it.
+struct ListedInstance {
+    run: Arc<str>,
+    address: SocketAddr,
+    forwards: Option<SocketAddr>,
+    member: FleetMember,
+}
+
 /// Controller that keeps the list of instances in line with their records.
 #[derive(Debug)]
 pub struct PeerController {
     board: Arc<Blackboard>,
     credit: Arc<CreditController>,
+    forwarder: Arc<Forwarder>,
     store: Arc<dyn KeyedLog>,
     /// Record of this instance, which is written again when the store has lost it.
     record: KeyedRecord,
@@ -55,23 +71,27 @@
 }
 
 impl PeerController {
-    /// Creates a controller that updates the fleet list of `board` and the peers of `credit`, and keeps `record`, the
+    /// Creates a controller that updates the fleet list of `board` and the peers of `credit` and `forwarder`, and keeps `record`, the
     /// one of this instance, in `store`.
     pub fn new(
         board: Arc<Blackboard>,
         credit: Arc<CreditController>,
+        forwarder: Arc<Forwarder>,
         store: Arc<dyn KeyedLog>,
         record: KeyedRecord,
     ) -> Self {
-        Self { board, credit, store, record, is_first: true }
+        Self { board, credit, forwarder, store, record, is_first: true }
     }
 
-    fn decode(record: &KeyedRecord) -> Result<(Arc<str>, SocketAddr, FleetMember), String> {
+    fn decode(record: &KeyedRecord) -> Result<ListedInstance, String> {
         let value = record.value.clone().unwrap_or_default();
         let message = InstanceMessage::decode(value).map_err(|error| error.to_string())?;
         let address = message.address.parse().map_err(|error| format!("address {:?}: {error}", message.address))?;
         let zone = AvailabilityZoneName::from(message.zone.as_str());
-        Ok((message.holder.into(), address, FleetMember { zone, capacity: message.capacity }))
+        // Instances of earlier software take no forwarded requests and name no address for them.
+        let forwards = message.forwards.parse().ok();
+        let member = FleetMember { zone, capacity: message.capacity };
+        Ok(ListedInstance { run: message.holder.into(), address, forwards, member })
     }
 }
 
@@ -96,7 +116,10 @@
             return;
         }
         match Self::decode(&record) {
-            Ok((run, address, member)) => {
+            Ok(ListedInstance { run, address, forwards, member }) => {
+                if let Some(forwards) = forwards {
+                    self.forwarder.add(&record.key, &member.zone, forwards);
+                }
                 self.board.note_member(&record.key, member);
                 if run == *self.credit.holder() {
                     return;
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -112,17 +112,26 @@
         Some(Lease { sender, reused: true, guard })
     }
 
-    /// Opens a connection.
+    /// Opens a connection within the usual time.
     ///
     /// # Errors
     ///
-    /// Fails if `limit` connections are open already, or if the connection cannot be opened.
+    /// Fails as [`Self::connect_within`] does.
     pub async fn connect(&self, limit: usize) -> Result<Lease, ConnectError> {
+        self.connect_within(limit, CONNECT_TIMEOUT).await
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `limit` connections are open already, or if the connection cannot be opened within `timeout`.
+    pub async fn connect_within(&self, limit: usize, timeout: Duration) -> Result<Lease, ConnectError> {
         if self.open_count() >= limit {
             return Err(ConnectError::Full(limit));
         }
         let guard = OpenGuard::new(&self.open_count);
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(self.address));
         let failed = |error: &dyn std::fmt::Display| ConnectError::Failed(error.to_string());
         let stream = connecting.await.map_err(|error| failed(&error))?.map_err(|error| match error.kind() {
             ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => ConnectError::Refused(error.to_string()),
@@ -156,6 +165,12 @@
         }
     }
 
+    /// Whether an idle connection can be reused.
+    pub fn has_idle(&self) -> bool {
+        let now = Instant::now();
+        self.idle.lock().iter().any(|connection| connection.expires_at > now && connection.sender.is_ready())
+    }
+
     /// Closes idle connections that have expired.
     pub fn close_expired(&self) {
         let now = Instant::now();
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -8,19 +8,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::refusal::{Code, Refusal};
-use coltsfootpick_core::routes::AccountSpec;
+use coltsfootpick_core::routes::{RepeatPolicy, Route};
 use coltsfootpick_core::selection::{Generation, Selection};
-use coltsfootpick_core::stream_origins::StreamKey;
-use coltsfootpick_core::units::Tokens;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::admitted_request::{AdmittedRequest, GenerationProgress, account_of, name_of, rank_of};
+use crate::admitted_request::{AdmittedRequest, GenerationProgress};
 use crate::blackboard::Blackboard;
 use crate::crash_detection;
-use crate::credit_controller::{CreditController, CreditReservation};
+use crate::credit_controller::CreditController;
 use crate::dispatch::{DispatchError, DispatchGuard, ServerResponse, send_request};
+use crate::forwarder::{ForwardedRequest, Forwarder};
 use crate::interfaces::{BackendProtocol, DispatchContext};
 use crate::log_event;
 use crate::log_events::LogEvent;
@@ -35,24 +35,12 @@
 /// Retry delay given to a request that found no server.
 const SERVER_BACKOFF: Duration = Duration::from_millis(400);
 
-/// Retry delay given to a request that arrives before the first document was read.
-const START_BACKOFF: Duration = Duration::from_millis(500);
-
-/// Retry delay given by a stopping instance; another instance can take the request at once.
-const DRAINING_BACKOFF: Duration = Duration::from_millis(50);
-
-/// Retry delay given while the network link is full; another instance can take the request at once.
-const LINK_BACKOFF: Duration = Duration::from_millis(50);
-
 /// Largest part by which a retry delay is lengthened at random.
 const BACKOFF_SPREAD: f64 = 0.25;
 
 /// Maximum number of servers tried for one request while none of them ran it.
 const SERVERS_TRIED_MAX: usize = 4;
 
-/// Output tokens of one event if the document does not set them.
-const EVENT_TOKENS_DEFAULT: u64 = 1;
-
 /// Handles the requests of one instance; clones share its state.
 #[derive(Clone, Debug)]
 pub struct RequestHandler {
@@ -64,6 +52,8 @@
     pub streams: Arc<StreamRegistry>,
     /// Protocol of the backend servers.
     pub protocol: Arc<dyn BackendProtocol>,
+    /// Client for requests that other instances handle.
+    pub forwarder: Arc<Forwarder>,
 }
 
 /// Dispatched request whose response head was read.
@@ -78,10 +68,18 @@
 }
 
 /// Lengthens a retry delay by a random part, so that callers do not all return at the same moment.
-fn spread(delay: Duration) -> Duration {
+pub(crate) fn spread(delay: Duration) -> Duration {
     delay.mul_f64(1.0 + rand::random::<f64>() * BACKOFF_SPREAD)
 }
 
+/// Further runs that `route` allows a request that may have had `dispatches`.
+fn repeats_of(route: &Route, dispatches: u32) -> u32 {
+    match route.repeat {
+        RepeatPolicy::AtMostOnce => 0,
+        RepeatPolicy::Idempotent | RepeatPolicy::Resumable => route.max_attempts.saturating_sub(dispatches),
+    }
+}
+
 /// Whether a server on which an unanswered request ran has crashed; the request may be the cause.
 pub async fn has_crashed(probe: Option<JoinHandle<bool>>) -> bool {
     match probe {
@@ -92,109 +90,96 @@
 
 impl RequestHandler {
     /// Serves one request; dropping the future cancels the request at its server.
+    ///
+    /// Another instance handles it if this one has no path to the servers.
     pub async fn serve(&self, request: CallerRequest) -> RequestOutcome {
-        let arrived = request.arrived;
-        let open_request = OpenRequest::new(&self.board, &request.id, arrived);
-        let mut admitted = match self.admit(request).await {
-            Ok(admitted) => admitted,
+        let open_request = OpenRequest::new(&self.board, &request.id, request.arrived);
+        let matched = match self.match_route(&request) {
+            Ok(matched) => matched,
             Err(refusal) => return open_request.refuse(refusal),
         };
-        let exchange = match self.dispatch(&mut admitted).await {
-            Ok(exchange) => exchange,
+        if !self.uses_own_path(&matched.service).await {
+            let (service, deadline) = (matched.service.clone(), matched.deadline);
+            let repeats = repeats_of(&matched.route, 1);
+            let forwarded = ForwardedRequest { request, service, deadline, dispatches: 0, repeats };
+            return self.forwarder.forward(forwarded, open_request).await;
+        }
+        let mut admitted = match self.admit(request, matched).await {
+            Ok(admitted) => admitted,
             Err(refusal) => return open_request.refuse(refusal),
         };
-        self.board.metrics.first_byte.observe(arrived.elapsed().as_secs_f64());
-        match admitted.route.streams && exchange.response.head.status.is_success() {
-            true => relay::stream_events(self.clone(), admitted, exchange, open_request).await,
-            false => relay::buffer_response(self, admitted, exchange, open_request).await,
+        match self.dispatch(&mut admitted).await {
+            Ok(exchange) => self.relay(admitted, exchange, open_request).await,
+            Err(refusal) if self.may_forward(&admitted) => {
+                log::debug!("forwarding request {}: {refusal}", admitted.request.id);
+                let forwarded = ForwardedRequest {
+                    request: admitted.request.clone(),
+                    service: admitted.service.clone(),
+                    deadline: admitted.deadline,
+                    dispatches: admitted.dispatches,
+                    repeats: repeats_of(&admitted.route, admitted.dispatches + 1),
+                };
+                drop(admitted);
+                self.forwarder.forward(forwarded, open_request).await
+            }
+            Err(refusal) => open_request.refuse(refusal),
         }
     }
 
-    async fn admit(&self, request: CallerRequest) -> Result<AdmittedRequest, Refusal> {
-        let Some(table) = self.board.routes() else {
-            let refusal = Refusal::not_run(Code::NoBackendServer, "no document was read yet");
-            return Err(refusal.retry_after(START_BACKOFF));
+    /// Serves a request that another instance forwards, after `dispatches` runs that it may have had there.
+    pub async fn serve_forwarded(&self, request: CallerRequest, dispatches: u32) -> RequestOutcome {
+        let open_request = OpenRequest::new(&self.board, &request.id, request.arrived);
+        let admitted = match self.match_route(&request) {
+            Ok(matched) => self.admit(request, matched).await,
+            Err(refusal) => Err(refusal),
         };
-        let Some(route) = table.route(&request.host, request.path()).cloned() else {
-            let detail = format!("host={:?} path={:?} version={}", request.host, request.path(), table.version());
-            return Err(Refusal::not_run(Code::UnknownService, detail));
-        };
-        let account = account_of(&table, &route, &request)?;
-        // A stream that is taken up goes to the service that its first attempt went to.
-        let first_attempt = request.resumed.as_ref().and_then(|resumed| resumed.first_attempt.clone());
-        let first_attempt = first_attempt.unwrap_or_else(|| Arc::clone(&request.id));
-        let Some(service) = route.service(&first_attempt).cloned() else {
-            return Err(Refusal::not_run(Code::UnknownService, format!("route={} has no service", route.name)));
+        let mut admitted = match admitted {
+            Ok(admitted) => admitted,
+            Err(refusal) => return open_request.refuse(refusal),
         };
-        let timeout = request.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
-        let deadline = request.arrived + timeout;
-        if !self.board.can_finish(deadline) {
-            return Err(Refusal::not_run(Code::Draining, "the instance is stopping").retry_after(DRAINING_BACKOFF));
+        // The forwarding instance has taken the retry from its share.
+        (admitted.arrivals, admitted.dispatches, admitted.maybe_run) = (dispatches, dispatches, dispatches > 0);
+        match self.dispatch(&mut admitted).await {
+            Ok(exchange) => self.relay(admitted, exchange, open_request).await,
+            Err(refusal) => open_request.refuse(refusal),
         }
-        self.check_link(rank_of(&route, account.as_deref()))?;
-        let fingerprint =
-            crash_detection::fingerprint(&request, account.as_ref().map(|account| &account.name), &service);
-        crash_detection::check_quarantine(&self.board, fingerprint)?;
-        let payer = name_of(account.as_deref());
-        let stream = StreamKey::of(&payer, &first_attempt);
-        let origin = self.find_origin(&request, &route, &service, stream).await?;
-        let service = origin.as_ref().map_or(service, |origin| origin.service.clone());
-        let trial = crash_detection::check_parts(&self.board, request.generation.as_ref(), &payer, &service)?;
-        let reservation = self.reserve(&request, account.as_deref(), deadline).await?;
-        let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
-        let event_tokens = engines.map_or(EVENT_TOKENS_DEFAULT, |spec| spec.event_tokens);
-        let tried_servers = Vec::new();
-        let (arrivals, dispatches, maybe_run, is_whole) = (0, 0, false, false);
-        Ok(AdmittedRequest {
-            request,
-            route,
-            service,
-            account,
-            event_tokens,
-            fingerprint,
-            deadline,
-            stream,
-            origin,
-            reservation,
-            tried_servers,
-            lost: Tokens::ZERO,
-            trial,
-            arrivals,
-            dispatches,
-            maybe_run,
-            is_whole,
-        })
     }
 
-    /// Refuses requests of ranks that a full network link does not take.
-    fn check_link(&self, rank: u8) -> Result<(), Refusal> {
-        let (link, now) = (*self.board.link.lock(), self.board.clock.now());
-        match link.admits(rank, now) {
-            true => Ok(()),
-            false => {
-                let detail = format!("rank={rank} link-usage={:.2}", link.usage(now));
-                Err(Refusal::not_run(Code::Overloaded, detail).retry_after(LINK_BACKOFF))
-            }
+    /// Whether a request uses this instance's own path to the servers of `service`; waits while the path is suspected.
+    async fn uses_own_path(&self, service: &ServiceName) -> bool {
+        let path = self.board.paths.of(service);
+        if self.forwarder.is_behind() || !path.is_usable().await {
+            return false;
         }
+        !path.is_lost() || self.board.servers.of_service(service).iter().any(|server| server.pool.has_idle())
     }
 
-    async fn reserve(
+    /// Whether another instance may take a request that found no server here.
+    fn may_forward(&self, admitted: &AdmittedRequest) -> bool {
+        let is_lost = self.board.paths.of(&admitted.service).is_lost();
+        is_lost && (!admitted.maybe_run || admitted.may_repeat()) && Instant::now() < admitted.deadline
+    }
+
+    async fn relay(
         &self,
-        request: &CallerRequest,
-        account: Option<&AccountSpec>,
-        deadline: Instant,
-    ) -> Result<Option<CreditReservation>, Refusal> {
-        match (account, &request.generation) {
-            (Some(AccountSpec { name, prepaid: Some(prepaid), .. }), Some(generation)) => {
-                self.credit.reserve(name, generation.bound(), *prepaid, deadline).await.map(Some)
-            }
-            _ => Ok(None),
+        admitted: AdmittedRequest,
+        exchange: ServerExchange,
+        open_request: OpenRequest,
+    ) -> RequestOutcome {
+        let arrived = admitted.request.arrived;
+        self.board.metrics.first_byte.observe(arrived.elapsed().as_secs_f64());
+        match admitted.route.streams && exchange.response.head.status.is_success() {
+            true => relay::stream_events(self.clone(), admitted, exchange, open_request).await,
+            false => relay::buffer_response(self, admitted, exchange, open_request).await,
         }
     }
 
     /// Dispatches to one server after another until one responds or no further attempt is allowed.
     pub async fn dispatch(&self, admitted: &mut AdmittedRequest) -> Result<ServerExchange, Refusal> {
         loop {
+            if !admitted.tried_servers.is_empty() {
+                self.board.paths.of(&admitted.service).is_usable().await;
+            }
             let Some((server, selection)) = self.select_server(admitted) else {
                 let refusal = self.final_refusal(admitted, "no server takes it");
                 return Err(match self.shortest_wait(&admitted.service) {
@@ -214,6 +199,7 @@
                     admitted.tried_servers.len() < SERVERS_TRIED_MAX
                 }
                 DispatchError::Rejected => admitted.dispatches < admitted.route.max_attempts,
+                DispatchError::PathLost => admitted.may_repeat(),
                 DispatchError::Unknown(_) => admitted.may_repeat() && !has_crashed(probe).await,
             };
             if !may_continue
@@ -275,13 +261,12 @@
             selection.costs
         );
         let mut guard = DispatchGuard::start(&self.board, server, selection, admitted.request.generation.as_ref());
-        if admitted.tried_servers.is_empty() {
+        if admitted.tried_servers.is_empty() && admitted.arrivals == 0 {
             self.board.note_first_dispatch(&admitted.service);
         }
         // Charges before sending, since this future may be dropped while the server runs the request.
         admitted.update_usage(GenerationProgress::Started);
-        let result =
-            send_request(&self.board, &*self.protocol, &admitted.request, server, &context, admitted.deadline).await;
+        let result = self.send(admitted, server, &context).await;
         match &result {
             Err(DispatchError::NotSent(_)) => {}
             Err(DispatchError::OtherServer) => admitted.arrivals += 1,
@@ -305,6 +290,25 @@
         Ok(ServerExchange { response, server: Arc::clone(server), guard })
     }
 
+    /// Sends the request. One that may be repeated does not wait for a path that is lost.
+    async fn send(
+        &self,
+        admitted: &AdmittedRequest,
+        server: &Arc<Server>,
+        context: &DispatchContext<'_>,
+    ) -> Result<ServerResponse, DispatchError> {
+        let (request, deadline) = (&admitted.request, admitted.deadline);
+        let sending = send_request(&self.board, &*self.protocol, request, server, context, deadline);
+        if repeats_of(&admitted.route, admitted.dispatches + 1) == 0 {
+            return sending.await;
+        }
+        let path = self.board.paths.of(&server.entry.service);
+        tokio::select! {
+            result = sending => result,
+            () = path.lost_silently() => Err(DispatchError::PathLost),
+        }
+    }
+
     /// Applies a failed dispatch, of which the caller received `events` events, to the health of its server.
     ///
     /// Returns the probe of the server if the request may be what crashed it, so that it must not be sent to another one
@@ -323,8 +327,9 @@
                 server.leave();
                 None
             }
-            DispatchError::Rejected | DispatchError::DeadlinePassed => None,
+            DispatchError::Rejected | DispatchError::DeadlinePassed | DispatchError::PathLost => None,
             DispatchError::NotSent(_) => {
+                server.set_unreached(true);
                 self.eject(server);
                 None
             }
--- a/crates/serving/src/server_choice.rs
+++ b/crates/serving/src/server_choice.rs
@@ -24,15 +24,21 @@
         let servers = self.board.servers.of_service(&admitted.service);
         let (parts, account) = (admitted.shared_parts(), admitted.account_name());
         let barred = crash_detection::barred_weights(&self.board, &parts, &account, &servers);
+        // A lost path has only the connections that are open already.
+        let only_open = self.board.paths.of(&admitted.service).is_lost();
         let is_usable = |server: &&Arc<Server>| {
             !server.is_leaving()
                 && server.pause_left().is_none()
                 && self.board.limit_wait(&server.entry).is_some_and(|wait| wait.is_zero())
                 && admitted.origin.as_ref().is_none_or(|origin| origin.version == server.entry.version)
                 && !admitted.tried_servers.contains(&server.entry.name)
+                && (!only_open || server.pool.has_idle())
                 && !barred.iter().any(|(weights, ..)| *weights == server.entry.weights)
         };
         let mut usable: Vec<&Arc<Server>> = servers.iter().filter(is_usable).collect();
+        if usable.iter().any(|server| !server.is_unreached()) {
+            usable.retain(|server| !server.is_unreached() || server.pool.has_idle());
+        }
         if admitted.trial.is_some() {
             keep_least_used(&mut usable);
         }
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -67,6 +67,8 @@
     /// Connections to the server.
     pub pool: ConnectionPool,
     leaving: AtomicBool,
+    /// Whether this instance could not connect to the server, and no probe has since.
+    unreached: AtomicBool,
     /// When the server takes requests of this instance again.
     paused_until: Mutex<Option<Instant>>,
 }
@@ -75,7 +77,8 @@
     fn new(entry: ServerEntry) -> Arc<Self> {
         let pool = ConnectionPool::new(entry.address);
         let leaving = AtomicBool::new(entry.leaving);
-        Arc::new(Self { entry, load: Mutex::default(), pool, leaving, paused_until: Mutex::default() })
+        let unreached = AtomicBool::new(false);
+        Arc::new(Self { entry, load: Mutex::default(), pool, leaving, unreached, paused_until: Mutex::default() })
     }
 
     /// Whether the server takes no new work.
@@ -88,6 +91,16 @@
         !self.leaving.swap(true, Ordering::AcqRel)
     }
 
+    /// Whether this instance could not connect to the server, and no probe has since.
+    pub fn is_unreached(&self) -> bool {
+        self.unreached.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the server is avoided until a probe connects to it.
+    pub fn set_unreached(&self, is_unreached: bool) {
+        self.unreached.store(is_unreached, Ordering::Relaxed);
+    }
+
     /// Sends no new work to the server for `span`; a pause that ends later stays.
     pub fn pause(&self, span: Duration) {
         let until = Instant::now() + span;
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -29,6 +29,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Listen address for other instances.
     pub peer_address: SocketAddr,
+    /// Listen address for requests that other instances forward.
+    pub forward_address: SocketAddr,
     /// Address of the store.
     pub store_address: SocketAddr,
     /// Longest time from a stop signal to the end of the process.
@@ -98,6 +100,7 @@
                 caller_address: required_address(&mut listen, "callers")?,
                 status_address: required_address(&mut listen, "ready")?,
                 peer_address: required_address(&mut listen, "peers")?,
+                forward_address: read_forward_address(&mut listen)?,
                 metrics_address: listen.parsed("metrics", "IP:PORT"),
                 store_address: required_address(&mut store, "address")?,
                 grace: Duration::from_secs_f64(instance.decimal("grace-s", 1.0..=3_600.0, GRACE_DEFAULT_S)),
@@ -128,6 +131,16 @@
     section.required_parsed(key, "IP:PORT")
 }
 
+/// Reads the address for forwarded requests; without one it is the next port after that for other instances.
+fn read_forward_address(listen: &mut Section) -> Option<SocketAddr> {
+    if let Some(address) = listen.parsed("forwards", "IP:PORT") {
+        return Some(address);
+    }
+    let mut address: SocketAddr = listen.text("peers")?.parse().ok()?;
+    address.set_port(address.port().checked_add(1)?);
+    Some(address)
+}
+
 /// Reads the retry limit; a fraction of a retry is not usable and is dropped.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the value lies within the checked range")]
 fn read_retry_limit(repeats: &mut Section) -> RetryLimit {
--- a/crates/serving/tests/credit.rs
+++ b/crates/serving/tests/credit.rs
@@ -113,13 +113,14 @@
     let address = listener.local_addr().unwrap();
     let credit = &harness.handler.credit;
     tokio::spawn(serve_peers(listener, Arc::<CreditController>::clone(credit)));
-    instance_record(&harness.handler.board.instance, address, credit.holder())
+    instance_record(&harness.handler.board.instance, address, address, credit.holder())
 }
 
 fn add_peer(harness: &RequestHarness, store: &KeyedStore, record: KeyedRecord) {
     let (board, credit) = (Arc::clone(&harness.handler.board), Arc::clone(&harness.handler.credit));
     let own = KeyedRecord { key: Arc::clone(&board.instance.name), value: None };
-    PeerController::new(board, credit, Arc::new(store.clone()), own).apply(record);
+    let forwarder = Arc::clone(&borrower.handler.forwarder);
+    PeerController::new(board, credit, forwarder, Arc::new(store.clone()), own).apply(record);
 }
 
 #[tokio::test]
--- a/crates/serving/tests/lenders.rs
+++ b/crates/serving/tests/lenders.rs
@@ -41,11 +41,13 @@
             let harness = RequestHarness::start(&format!("edge-{index}"), &store, &[]);
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (board, credit) = (Arc::clone(&harness.handler.board), Arc::clone(&harness.handler.credit));
-            let record = instance_record(&board.instance, listener.local_addr().unwrap(), credit.holder());
+            let address = listener.local_addr().unwrap();
+            let record = instance_record(&board.instance, address, address, credit.holder());
             let shared: Arc<dyn KeyedLog> = Arc::new(CountedLog::new(store.clone(), Arc::clone(&board)));
             publish_record(Arc::clone(&shared), record.clone(), harness.stop.clone()).await;
             fleet.listeners.push(tokio::spawn(serve_peers(listener, Arc::<CreditController>::clone(&credit))));
-            let sink = PeerController::new(board, credit, Arc::clone(&shared), record);
+            let forwarder = Arc::clone(&harness.handler.forwarder);
+            let sink = PeerController::new(board, credit, forwarder, Arc::clone(&shared), record);
             tokio::spawn(follow(shared, Topic::Instances, POLL, sink, harness.stop.clone()));
             fleet.instances.push(harness);
         }
--- a/crates/serving/tests/lost_paths.rs
+++ b/crates/serving/tests/lost_paths.rs
@@ -39,6 +39,8 @@
         let far: Vec<_> = links.iter().map(|link| link.address).collect();
         let cut = RequestHarness::start("edge-a", &store, &far);
         let peer = RequestHarness::start("edge-b", &store, &near);
+        cut.add_peer("edge-b", peer.take_forwards().await);
+        peer.add_peer("edge-a", cut.take_forwards().await);
         Self { cut, peer, links, _servers: servers }
     }
 
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -4,16 +4,20 @@
 
 use bytes::Bytes;
 use coltsfootpick_core::names::{AvailabilityZoneName, RegionName};
+use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::routes::{CallerLimits, RouteTable};
-use coltsfootpick_core::selection::Location;
+use coltsfootpick_core::selection::{Generation, Location};
+use coltsfootpick_core::units::Tokens;
 use coltsfootpick_serving::interfaces::{
-    BackendProtocol, DecodeError, DispatchContext, KeyedRecord, RecordDecoder, ResponseKind, ServerNotice,
+    BackendProtocol, CallerProtocol, DecodeError, DispatchContext, KeyedRecord, RecordDecoder, ResponseKind,
+    ServerNotice,
 };
 use coltsfootpick_serving::request::CallerRequest;
 use coltsfootpick_serving::servers::ServerEntry;
 use http::response::Parts;
-use http::{Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
+use tokio::time::Instant;
 
 /// Sends the headers `x-id`, `x-server`, `x-left`, `x-account` and `x-resumes`. The header `x-not-run` of a response
 /// says that the request did not run, `x-leaving` that the server leaves, `x-pause` how many seconds it wants nothing, `x-limit` how
@@ -65,6 +69,47 @@
     }
 }
 
+impl CallerProtocol for PlainProtocol {
+    fn encode_headers(&self, request: &CallerRequest, remaining: Duration) -> HeaderMap {
+        let mut fields = request.headers.clone();
+        let mut set = |name: &'static str, text: &str| {
+            fields.insert(name, HeaderValue::from_str(text).expect("tests send plain text"));
+        };
+        set("x-id", &request.id);
+        set("host", &request.host);
+        set("x-key", request.api_key.as_deref().unwrap_or_default());
+        set("x-left", &remaining.as_millis().to_string());
+        if let Some(Generation { prompt, output, .. }) = &request.generation {
+            set("x-size", &format!("{prompt},{output}"));
+        }
+        fields
+    }
+
+    fn decode(&self, head: http::request::Parts, body: Bytes, arrived: Instant) -> Result<CallerRequest, Refusal> {
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let missing = |name: &str| Refusal::not_run(Code::BadRequest, format!("the request has no {name}"));
+        let size = text("x-size").and_then(|size| size.split_once(','));
+        let tokens = |text: &str| text.parse().map(Tokens).unwrap_or_default();
+        Ok(CallerRequest {
+            id: text("x-id").ok_or_else(|| missing("id"))?.into(),
+            method: head.method.clone(),
+            host: text("host").ok_or_else(|| missing("host"))?.into(),
+            target: head.uri.to_string().into(),
+            api_key: text("x-key").filter(|key| !key.is_empty()).map(Into::into),
+            timeout: text("x-left").and_then(|left| left.parse().ok()).map(Duration::from_millis),
+            generation: size.map(|(prompt, output)| Generation {
+                prompt: tokens(prompt),
+                output: tokens(output),
+                parts: Vec::new(),
+            }),
+            resumed: None,
+            headers: HeaderMap::new(),
+            body,
+            arrived,
+        })
+    }
+}
+
 impl RecordDecoder for PlainProtocol {
     /// Decodes a document, which consists of its version number.
     fn document(&self, record: &KeyedRecord) -> Result<Option<RouteTable>, DecodeError> {
--- a/crates/testkit/src/request_harness.rs
+++ b/crates/testkit/src/request_harness.rs
@@ -11,14 +11,18 @@
 use coltsfootpick_serving::blackboard::{Blackboard, InstanceSpec};
 use coltsfootpick_serving::counted_log::CountedLog;
 use coltsfootpick_serving::credit_controller::CreditController;
+use coltsfootpick_serving::forward_server::ForwardServer;
+use coltsfootpick_serving::forwarder::Forwarder;
 use coltsfootpick_serving::interfaces::KeyedLog;
 use coltsfootpick_serving::observations;
+use coltsfootpick_serving::path_controller::PathController;
 use coltsfootpick_serving::request::CallerRequest;
 use coltsfootpick_serving::request_handler::RequestHandler;
 use coltsfootpick_serving::retry_share::RetryLimit;
 use coltsfootpick_serving::servers::ServerEntry;
 use coltsfootpick_serving::stream_registry::StreamRegistry;
 use http::Method;
+use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -102,7 +106,24 @@
         let streams = StreamRegistry::new(Arc::clone(&board), shared, Arc::clone(controller.holder()));
         tokio::spawn(Arc::clone(&streams).run(stop.clone()));
         let protocol = Arc::new(PlainProtocol);
-        Self { handler: RequestHandler { board, credit: controller, streams, protocol }, stop }
+        let forwarder = Forwarder::new(Arc::clone(&board), Arc::<PlainProtocol>::clone(&protocol));
+        tokio::spawn(Arc::clone(&forwarder).run(stop.clone()));
+        tokio::spawn(PathController::new(Arc::clone(&board), Arc::clone(&forwarder)).run(stop.clone()));
+        Self { handler: RequestHandler { board, credit: controller, streams, protocol, forwarder }, stop }
+    }
+
+    /// Starts to take forwarded requests, and returns the address.
+    pub async fn take_forwards(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let server = ForwardServer::new(self.handler.clone(), Arc::new(PlainProtocol));
+        tokio::spawn(self.stop.clone().run_until_cancelled_owned(server.run(listener)));
+        address
+    }
+
+    /// Makes the instance know a peer that takes forwarded requests at `address`.
+    pub fn add_peer(&self, name: &str, address: SocketAddr) {
+        self.handler.forwarder.add(&name.into(), &test_location().zone, address);
     }
 
     /// Waits until the instance has credit for the account.
--- a/crates/wire/src/loans.rs
+++ b/crates/wire/src/loans.rs
@@ -22,6 +22,9 @@
     /// Share of a processor core that the instance may use, in thousandths; 0 if unknown.
     #[prost(uint32, tag = "4")]
     pub capacity: u32,
+    /// `IP:PORT` where the instance takes forwarded requests; empty if it takes none.
+    #[prost(string, tag = "5")]
+    pub forwards: String,
 }
 
 /// What a borrower used and returns of the receiver's loans for one account.
