--- a/crates/serving/tests/credit.rs
+++ b/crates/serving/tests/credit.rs
@@ -119,7 +119,7 @@
 fn add_peer(harness: &RequestHarness, store: &KeyedStore, record: KeyedRecord) {
     let (board, credit) = (Arc::clone(&harness.handler.board), Arc::clone(&harness.handler.credit));
     let own = KeyedRecord { key: Arc::clone(&board.instance.name), value: None };
-    let forwarder = Arc::clone(&borrower.handler.forwarder);
+    let forwarder = Arc::clone(&harness.handler.forwarder);
     PeerController::new(board, credit, forwarder, Arc::new(store.clone()), own).apply(record);
 }
 
--- a/crates/serving/tests/restored_store.rs
+++ b/crates/serving/tests/restored_store.rs
@@ -1,5 +1,6 @@
 //! A store that comes back from an older copy: nothing known of documents, servers and ceilings goes backwards.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -155,16 +156,20 @@
     assert!(used > PREPAID * 9 / 10, "only {used} of {PREPAID} tokens can be used");
 }
 
+/// Address at which nothing listens.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
 #[tokio::test(start_paused = true)]
 async fn instance_listed_again() {
     let store = KeyedStore::default();
     let harness = RequestHarness::start("edge-a", &store, &[]);
     let (board, credit): (_, Arc<CreditController>) = (&harness.handler.board, Arc::clone(&harness.handler.credit));
     tokio::time::sleep(COPY_AGE).await;
-    let record = instance_record(&board.instance, "127.0.0.1:1".parse().unwrap(), credit.holder());
+    let record = instance_record(&board.instance, NOWHERE, NOWHERE, credit.holder());
     let shared: Arc<dyn KeyedLog> = Arc::new(store.clone());
     publish_record(Arc::clone(&shared), record.clone(), CancellationToken::new()).await;
-    let sink = PeerController::new(Arc::clone(board), credit, Arc::clone(&shared), record.clone());
+    let forwarder = Arc::clone(&harness.handler.forwarder);
+    let sink = PeerController::new(Arc::clone(board), credit, forwarder, Arc::clone(&shared), record.clone());
     tokio::spawn(follow(shared, Topic::Instances, POLL, sink, CancellationToken::new()));
     tokio::time::sleep(READ_TIME).await;
     store.restore_copy(COPY_AGE);
