Keep fleets below the rejections that make brittle servers fall over

Cause: servers that say Server-Brittle = N fall over when they reject more than N requests in a second, and nothing bounded the rejections that all instances cause together. Change: while a service is brittle each instance keeps to its part of every server's slots, pauses a server that rejects it and comes back in its turn; requests wait briefly for room and are refused as not run with a delay. Thresholds are shared through the record of observations.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod audit;
 pub mod backends;
 pub mod blackboard;
+pub mod brittle_servers;
 pub mod ceilings;
 pub mod chat;
 pub mod cost_policy;
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use coltsfootpick_core::brittle_servers::{BrittleServers, Room};
 use coltsfootpick_core::lenders::{CreditRole, Fleet, FleetMember};
 use coltsfootpick_core::link_load::{LinkChange, LinkLoad};
 use coltsfootpick_core::names::{ClientAccountName, ServiceName};
@@ -99,6 +100,10 @@
     pub part_blame: Mutex<PartBlame>,
     /// Software versions that began the recent streams.
     pub stream_origins: Mutex<StreamOrigins>,
+    /// Services whose servers fall over when they reject too many requests.
+    pub brittle_servers: Mutex<BrittleServers>,
+    /// Notified when a request at a server ends.
+    pub room_freed: Arc<Notify>,
     /// Limits of requests a second that servers named.
     pub server_limits: Mutex<ServerLimits>,
     /// Notified when there are observations to report.
@@ -140,6 +145,8 @@
             quarantine: Mutex::default(),
             part_blame: Mutex::default(),
             stream_origins: Mutex::default(),
+            brittle_servers: Mutex::default(),
+            room_freed: Arc::default(),
             server_limits: Mutex::default(),
             observation_news: Notify::new(),
             buffered: BufferedTotal::default(),
@@ -300,6 +307,28 @@
         self.server_limits.lock().take(&run, self.sharers_max(), || self.limit_turn(&run), self.clock.now());
     }
 
+    /// Room of this instance at a server at which it has `open` requests; only brittle services are limited.
+    pub fn brittle_room(&self, server: &ServerEntry, open: u32) -> Room {
+        let (mut brittle, now) = (self.brittle_servers.lock(), self.clock.now());
+        if brittle.is_empty() {
+            return Room::Free;
+        }
+        let Some(threshold) = brittle.threshold(&server.service, now) else { return Room::Free };
+        let run = server.run();
+        brittle.room(&run, (threshold, server.slots, open), self.sharers_max(), || self.limit_turn(&run), now)
+    }
+
+    /// Records that a server rejected a request, which counts where its service is brittle.
+    pub fn note_rejected(&self, server: &ServerEntry) {
+        let (mut brittle, now) = (self.brittle_servers.lock(), self.clock.now());
+        if let Some(threshold) = brittle.threshold(&server.service, now) {
+            let run = server.run();
+            let sizes = (threshold, server.slots);
+            brittle.note_rejected(&run, sizes, self.sharers_max(), || self.limit_turn(&run), now);
+            log_event!(LogEvent::BrittleRejection, "server={} threshold={threshold}", server.name);
+        }
+    }
+
     /// Number of instances that may try the formerly convicted `part` before this one.
     pub fn trial_turn(&self, part: u64) -> u32 {
         self.fleet.read().turn(&self.instance.name, part)
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootpick_core::brittle_servers::BrittleChange;
 use coltsfootpick_core::selection::{Generation, Selection};
 use coltsfootpick_core::server_limits::LimitChange;
 use derive_more::Display;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::blackboard::Blackboard;
@@ -60,6 +62,7 @@
 pub struct DispatchGuard {
     server: Arc<Server>,
     path: Arc<ServicePath>,
+    freed: Arc<Notify>,
     uncached: u64,
     predicted_ms: f64,
     started: Instant,
@@ -81,6 +84,7 @@
         Self {
             server: Arc::clone(server),
             path,
+            freed: Arc::clone(&board.room_freed),
             uncached: selection.uncached,
             predicted_ms: selection.predicted,
             started: Instant::now(),
@@ -115,6 +119,7 @@
         load.note_end();
         drop(load);
         self.path.note_ended();
+        self.freed.notify_one();
     }
 }
 
@@ -186,6 +191,15 @@
     board.observation_news.notify_one();
 }
 
+/// Logs changes of brittle services, and has them reported.
+pub fn note_brittle_changes(board: &Blackboard, changes: &[BrittleChange], told_by: &str) {
+    for BrittleChange { service, threshold } in changes {
+        let threshold = threshold.map_or_else(|| "none".to_owned(), |threshold| threshold.to_string());
+        log_event!(LogEvent::ServiceBrittle, "service={service} threshold={threshold} told-by={told_by}");
+    }
+    board.observation_news.notify_one();
+}
+
 /// Applies what the head of a response tells about its server.
 fn note_server(board: &Blackboard, server: &Server, notice: &ServerNotice) {
     let name = &server.entry.name;
@@ -206,6 +220,16 @@
         let change = board.server_limits.lock().record(&server.entry.run(), notice.limit, board.clock.reading());
         note_limit_changes(board, change.as_slice(), "answer");
     }
+    if let Some(text) = &notice.invalid_brittle {
+        log_event!(LogEvent::ServiceBrittle, "server={name} ignored={text:?}");
+    }
+    let may_end = || notice.invalid_brittle.is_none() && !board.brittle_servers.lock().is_empty();
+    if notice.brittle.is_some() || may_end() {
+        let service = &server.entry.service;
+        let (run, clock) = (server.entry.run(), board.clock.reading());
+        let change = board.brittle_servers.lock().record(service, &run, notice.brittle, clock);
+        note_brittle_changes(board, change.as_slice(), "answer");
+    }
     if let Some(text) = &notice.invalid_pause {
         log_event!(LogEvent::ServerPaused, "server={name} ignored={text:?}");
     }
@@ -249,7 +273,10 @@
             let idle_time = protocol.idle_time(&head);
             Ok(ServerResponse { head, body, lease, idle_time })
         }
-        ResponseKind::NotRun => Err(DispatchError::Rejected),
+        ResponseKind::NotRun => {
+            board.note_rejected(&server.entry);
+            Err(DispatchError::Rejected)
+        }
         ResponseKind::OtherServer => Err(DispatchError::OtherServer),
         ResponseKind::Unusable(reason) => Err(DispatchError::Unknown(reason.to_owned())),
     }
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -182,6 +182,10 @@
     pub invalid_pause: Option<String>,
     /// Requests a second that the server takes from all instances together; `None` if it names no limit.
     pub limit: Option<f64>,
+    /// Rejections in a second that the server bears; more make it fall over.
+    pub brittle: Option<u32>,
+    /// Value of such a number that could not be read; the one known before stays.
+    pub invalid_brittle: Option<String>,
     /// Value of a limit that could not be read; the limit known before stays.
     pub invalid_limit: Option<String>,
 }
--- a/crates/serving/src/log_events.rs
+++ b/crates/serving/src/log_events.rs
@@ -47,6 +47,10 @@
     ResponseOversized,
     /// The path of this instance to the servers of a service changed.
     PathChanged,
+    /// The servers of a service became brittle, or sound again.
+    ServiceBrittle,
+    /// A brittle server rejected a request.
+    BrittleRejection,
     /// A request was dispatched to a backend server.
     Dispatched,
     /// A dispatch brought no response that could be relayed.
@@ -127,6 +131,8 @@
         Self::ServerLimited,
         Self::ResponseOversized,
         Self::PathChanged,
+        Self::ServiceBrittle,
+        Self::BrittleRejection,
         Self::Dispatched,
         Self::DispatchFailed,
         Self::StreamResumed,
@@ -180,6 +186,8 @@
             Self::ResponseOversized => "CP1207",
             Self::ServerLimited => "CP1208",
             Self::PathChanged => "CP1209",
+            Self::ServiceBrittle => "CP1210",
+            Self::BrittleRejection => "CP1211",
             Self::Dispatched => "CP1300",
             Self::DispatchFailed => "CP1301",
             Self::StreamResumed => "CP1302",
@@ -222,6 +230,8 @@
             | Self::ServerEjected
             | Self::ResponseOversized
             | Self::PathChanged
+            | Self::ServiceBrittle
+            | Self::BrittleRejection
             | Self::DispatchFailed
             | Self::StreamAborted
             | Self::CeilingsUncertain
--- a/crates/serving/src/observations.rs
+++ b/crates/serving/src/observations.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootpick_core::brittle_servers::BrittleReport;
 use coltsfootpick_core::part_evidence::PartReport;
 use coltsfootpick_core::server_limits::LimitReport;
 use coltsfootpick_wire::observations::ObservationMessage;
@@ -13,7 +14,7 @@
 
 use crate::blackboard::Blackboard;
 use crate::crash_detection::note_changes;
-use crate::dispatch::note_limit_changes;
+use crate::dispatch::{note_brittle_changes, note_limit_changes};
 use crate::interfaces::{KeyedLog, KeyedRecord, Topic};
 use crate::log_event;
 use crate::log_events::LogEvent;
@@ -52,7 +53,8 @@
 async fn wait_for_news(board: &Blackboard) {
     loop {
         let has_part_news = board.part_blame.lock().take_news();
-        if board.server_limits.lock().take_news() || has_part_news {
+        let has_brittle_news = board.brittle_servers.lock().take_news();
+        if board.server_limits.lock().take_news() || has_part_news || has_brittle_news {
             return;
         }
         if !board.part_blame.lock().has_answers() {
@@ -75,15 +77,18 @@
         let now = board.clock.now();
         let parts = board.part_blame.lock().own_reports(now);
         let limits = board.server_limits.lock().own_reports(now);
+        let brittle = board.brittle_servers.lock().own_reports(now);
         let message = ObservationMessage {
             parts: parts.into_iter().map(Into::into).collect(),
             limits: limits.into_iter().map(Into::into).collect(),
+            brittle: brittle.into_iter().map(Into::into).collect(),
         };
         let record = KeyedRecord { key: Arc::clone(&board.instance.name), value: Some(message.encode_to_vec().into()) };
         if let Err(error) = store.append(Topic::Observations, None, vec![record]).await {
             log::debug!("observations not written: {error}");
             board.part_blame.lock().repeat_reports();
             board.server_limits.lock().repeat_reports();
+            board.brittle_servers.lock().repeat_reports();
             tokio::time::sleep(RETRY_PAUSE).await;
         }
         tokio::time::sleep(WRITE_PAUSE).await;
@@ -122,6 +127,9 @@
         let limits: Vec<LimitReport> = message.limits.into_iter().map(Into::into).collect();
         let changes = self.board.server_limits.lock().merge(limits, clock);
         note_limit_changes(&self.board, &changes, &record.key);
+        let brittle: Vec<BrittleReport> = message.brittle.into_iter().map(Into::into).collect();
+        let changes = self.board.brittle_servers.lock().merge(brittle, clock);
+        note_brittle_changes(&self.board, &changes, &record.key);
     }
 
     fn note_recovery(&mut self, _outage: Duration) {}
@@ -129,6 +137,7 @@
     fn note_restored(&mut self) {
         self.board.part_blame.lock().repeat_reports();
         self.board.server_limits.lock().repeat_reports();
+        self.board.brittle_servers.lock().repeat_reports();
         self.board.stream_origins.lock().repeat_reports();
         self.board.observation_news.notify_one();
     }
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -180,7 +180,7 @@
             if !admitted.tried_servers.is_empty() {
                 self.board.paths.of(&admitted.service).is_usable().await;
             }
-            let Some((server, selection)) = self.select_server(admitted) else {
+            let Some((server, selection)) = self.await_server(admitted).await else {
                 let refusal = self.final_refusal(admitted, "no server takes it");
                 return Err(match self.shortest_wait(&admitted.service) {
                     Some(wait) if refusal.retry_after.is_some() => refusal.retry_after(spread(wait)),
--- a/crates/serving/src/server_choice.rs
+++ b/crates/serving/src/server_choice.rs
@@ -3,14 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootpick_core::brittle_servers::Room;
 use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::selection::{Candidate, Selection, SelectionRequest, choose};
 
+use tokio::time::Instant;
+
 use crate::admitted_request::AdmittedRequest;
 use crate::crash_detection;
 use crate::request_handler::RequestHandler;
 use crate::servers::Server;
 
+/// Retry delay given while this instance has no room at any brittle server.
+const ROOM_BACKOFF: Duration = Duration::from_millis(250);
+
 /// Keeps the servers at which fewest requests of this instance are open, so that a crash costs few of them.
 fn keep_least_used(servers: &mut Vec<&Arc<Server>>) {
     let open = |server: &Arc<Server>| server.load.lock().open();
@@ -32,6 +38,7 @@
                 && self.board.limit_wait(&server.entry).is_some_and(|wait| wait.is_zero())
                 && admitted.origin.as_ref().is_none_or(|origin| origin.version == server.entry.version)
                 && !admitted.tried_servers.contains(&server.entry.name)
+                && self.board.brittle_room(&server.entry, server.load.lock().open()) == Room::Free
                 && (!only_open || server.pool.has_idle())
                 && !barred.iter().any(|(weights, ..)| *weights == server.entry.weights)
         };
@@ -64,13 +71,42 @@
         Some((Arc::clone(server), selection))
     }
 
+    /// Selects a server as [`Self::select_server`] does. Where brittle servers have no room, waits for it for half of the
+    /// latency objective at most, since a rejected request could make them fall over.
+    pub async fn await_server(&self, admitted: &AdmittedRequest) -> Option<(Arc<Server>, Selection)> {
+        let limit = admitted.deadline.min(Instant::now() + admitted.route.latency_objective / 2);
+        loop {
+            let freed = self.board.room_freed.notified();
+            if let Some(found) = self.select_server(admitted) {
+                return Some(found);
+            }
+            if !self.has_full_server(&admitted.service) || tokio::time::timeout_at(limit, freed).await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    /// Whether this instance may send to a server of `service` again once one of its requests there has ended.
+    fn has_full_server(&self, service: &ServiceName) -> bool {
+        let is_full = |server: &Arc<Server>| {
+            let open = server.load.lock().open();
+            open > 0 && self.board.brittle_room(&server.entry, open) == Room::Full
+        };
+        self.board.servers.of_service(service).iter().any(is_full)
+    }
+
     /// Shortest time until a server of `service` takes a request of this instance, if every one that stays is paused or
     /// has reached its limit.
     pub fn shortest_wait(&self, service: &ServiceName) -> Option<Duration> {
         let servers = self.board.servers.of_service(service);
         let wait = |server: &Arc<Server>| {
             let pause = server.pause_left().unwrap_or_default();
-            self.board.limit_wait(&server.entry).map(|limit| limit.max(pause))
+            let room = match self.board.brittle_room(&server.entry, server.load.lock().open()) {
+                Room::Free => Duration::ZERO,
+                Room::Full => ROOM_BACKOFF,
+                Room::Paused(left) => left,
+            };
+            self.board.limit_wait(&server.entry).map(|limit| limit.max(pause).max(room))
         };
         let waits: Vec<Duration> = servers.iter().filter(|server| !server.is_leaving()).filter_map(wait).collect();
         waits.into_iter().min().filter(|wait| !wait.is_zero())
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -21,7 +21,7 @@
 
 /// Sends the headers `x-id`, `x-server`, `x-left`, `x-account` and `x-resumes`. The header `x-not-run` of a response
 /// says that the request did not run, `x-leaving` that the server leaves, `x-pause` how many seconds it wants nothing, `x-limit` how
-/// many requests a second it takes.
+/// many requests a second it takes, `x-brittle` how many it may reject in a second.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlainProtocol;
 
@@ -61,6 +61,8 @@
             invalid_pause,
             limit: limit.and_then(|text| text.parse().ok()),
             invalid_limit: None,
+            brittle: head.headers.get("x-brittle").and_then(|value| value.to_str().ok()?.parse().ok()),
+            invalid_brittle: None,
         }
     }
 
--- a/crates/wire/src/observations.rs
+++ b/crates/wire/src/observations.rs
@@ -1,5 +1,6 @@
 //! Encoded record of what an instance observed of backend servers; the store keeps the newest record of each instance.
 
+use coltsfootpick_core::brittle_servers::BrittleReport;
 use coltsfootpick_core::part_evidence::{PartCrash, PartReport};
 use coltsfootpick_core::server_limits::{LimitReport, ServerRun};
 use prost::Message;
@@ -13,6 +14,37 @@
     /// Limits that servers named.
     #[prost(message, repeated, tag = "2")]
     pub limits: Vec<LimitReportMessage>,
+    /// Services whose servers are brittle.
+    #[prost(message, repeated, tag = "3")]
+    pub brittle: Vec<BrittleReportMessage>,
+}
+
+/// Service whose servers say that they are brittle.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BrittleReportMessage {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Rejections in a second that a server bears.
+    #[prost(uint32, tag = "2")]
+    pub threshold: u32,
+    /// Time of day of the answer in milliseconds since 1970.
+    #[prost(uint64, tag = "3")]
+    pub at: u64,
+}
+
+impl From<BrittleReport> for BrittleReportMessage {
+    fn from(report: BrittleReport) -> Self {
+        let BrittleReport { service, threshold, at } = report;
+        Self { service: service.to_string(), threshold, at }
+    }
+}
+
+impl From<BrittleReportMessage> for BrittleReport {
+    fn from(message: BrittleReportMessage) -> Self {
+        let BrittleReportMessage { service, threshold, at } = message;
+        Self { service: service.into(), threshold, at }
+    }
 }
 
 /// Limit that a run of a backend server named.
