Test forwarding, cuts, silent servers; set both time limits on every socket

Cause: a user timeout decides when keep-alive probes give up, and sockets of callers, peers and loans had neither; a connection without unacknowledged bytes that went silent was noticed at the request's deadline only. A server that was silent for a second kept a high latency estimate for good and got no request that would have corrected it.

--- a/crates/core/src/selection.rs
+++ b/crates/core/src/selection.rs
@@ -80,6 +80,9 @@
 /// Weight of the newest sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
+/// Time after which a measured latency that is not renewed has lost half of its weight.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// Smallest and greatest accepted ratio of a measured wait to its prediction.
 const SLOWNESS_RANGE: (f64, f64) = (0.3, 20.0);
 
@@ -113,6 +116,8 @@
     uncached: u64,
     slowness: f64,
     latency_ms: f64,
+    /// When the latency was last measured.
+    measured_at: Instant,
     failure_rate: f64,
     failures: u32,
     ejected_until: Option<Instant>,
@@ -126,6 +131,7 @@
             uncached: 0,
             slowness: 1.0,
             latency_ms: INITIAL_LATENCY_MS,
+            measured_at: Instant::default(),
             failure_rate: 0.0,
             failures: 0,
             ejected_until: None,
@@ -172,8 +178,17 @@
     }
 
     /// Adds the duration of a complete answer of a plain service to the moving average.
-    pub fn note_latency(&mut self, duration: Duration) {
-        self.latency_ms += (duration.as_secs_f64() * 1e3 - self.latency_ms) * SAMPLE_WEIGHT;
+    pub fn note_latency(&mut self, duration: Duration, now: Instant) {
+        let known = self.latency_ms(now);
+        self.latency_ms = known + (duration.as_secs_f64() * 1e3 - known) * SAMPLE_WEIGHT;
+        self.measured_at = now;
+    }
+
+    /// Expected duration of an answer. A measured one loses weight while it is not renewed, since a server that was slow for
+    /// a moment would otherwise get no request that shows it to be well again.
+    fn latency_ms(&self, now: Instant) -> f64 {
+        let half_lives = now.since(self.measured_at).as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64();
+        INITIAL_LATENCY_MS + (self.latency_ms - INITIAL_LATENCY_MS) * 0.5_f64.powf(half_lives)
     }
 
     /// Records a successful answer, which ends an ejection.
@@ -295,7 +310,7 @@
 fn predict(request: &SelectionRequest<'_>, candidate: &Candidate<'_>, is_preferred: bool) -> (f64, u64, f64) {
     let load = candidate.load;
     let Some(generation) = request.generation else {
-        return (load.latency_ms * f64::from(load.open + 1), 0, 0.0);
+        return (load.latency_ms(request.now) * f64::from(load.open + 1), 0, 0.0);
     };
     let shared: u64 =
         generation.parts.split_last().map_or(0, |(_, shared)| shared.iter().map(|part| part.tokens).sum());
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootpick_process::socket_limits::SocketLimits;
 use derive_more::{Display, Error};
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,9 +15,11 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_RETRIES: u32 = 2;
+const SOCKET_LIMITS: SocketLimits = SocketLimits {
+    idle: Duration::from_secs(2),
+    interval: Duration::from_secs(1),
+    unacknowledged: Duration::from_secs(4),
+};
 
 /// HTTP client, with or without a connection pool.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -53,9 +56,10 @@
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
-    connector.set_keepalive(Some(KEEPALIVE_IDLE));
-    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
-    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    connector.set_keepalive(Some(SOCKET_LIMITS.idle));
+    connector.set_keepalive_interval(Some(SOCKET_LIMITS.interval));
+    connector.set_keepalive_retries(Some(SOCKET_LIMITS.probes()));
+    connector.set_tcp_user_timeout(Some(SOCKET_LIMITS.unacknowledged));
     connector
 }
 
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod entry_point;
 pub mod exit;
 pub mod settings_file;
+pub mod socket_limits;
--- a/crates/serving/src/forward_link.rs
+++ b/crates/serving/src/forward_link.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootpick_process::socket_limits;
 use coltsfootpick_wire::forwarding::{AnswerFrame, AnswerKind, FRAME_MAX_BYTES, ForwardFrame, ForwardKind};
 use derive_more::{Display, Error};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use parking_lot::Mutex;
 use prost::Message;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -20,9 +20,6 @@
 /// Time limit for connecting to a peer; regions are about 16 ms apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time after which unacknowledged bytes close a connection.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
-
 /// Time for which an idle connection is reused; the peer keeps it longer.
 const IDLE_TIME: Duration = Duration::from_secs(4);
 
@@ -60,7 +57,7 @@
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connecting.map_err(|_elapsed| LinkError::new("no connection in time"))?.map_err(LinkError::new)?;
         stream.set_nodelay(true).map_err(LinkError::new)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX)).map_err(LinkError::new)?;
+        socket_limits::PEER.apply(&stream).map_err(LinkError::new)?;
         Ok(Self { frames: framed(stream) })
     }
 
--- a/crates/serving/src/forward_server.rs
+++ b/crates/serving/src/forward_server.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use coltsfootpick_core::path_health::PathState;
 use coltsfootpick_core::refusal::{Code, Refusal};
+use coltsfootpick_process::socket_limits;
 use coltsfootpick_wire::forwarding::{
     AnswerFrame, AnswerKind, BODY_PIECE_BYTES, EndMessage, ForwardFrame, ForwardKind, ForwardedRequestMessage,
     PeerStateMessage, RefusalMessage, ResponseHeadMessage, decode_headers, encode_headers,
@@ -92,7 +93,7 @@
     /// Accepts connections of other instances.
     pub async fn run(self, listener: TcpListener) {
         loop {
-            let stream = accept_next(&listener, "a forwarding connection").await;
+            let stream = accept_next(&listener, "a forwarding connection", socket_limits::PEER).await;
             if self.connections.load(Ordering::Relaxed) >= CONNECTIONS_MAX {
                 continue;
             }
--- a/crates/serving/src/listener.rs
+++ b/crates/serving/src/listener.rs
@@ -2,18 +2,19 @@
 
 use std::time::Duration;
 
+use coltsfootpick_process::socket_limits::SocketLimits;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Waits for the next connection and retries after errors; `kind` describes the connection in log lines.
-pub async fn accept_next(listener: &TcpListener, kind: &str) -> TcpStream {
+pub async fn accept_next(listener: &TcpListener, kind: &str, limits: SocketLimits) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    log::debug!("cannot set TCP_NODELAY on {kind}: {error}");
+                if let Err(error) = stream.set_nodelay(true).and_then(|()| limits.apply(&stream)) {
+                    log::debug!("cannot set the options of {kind}: {error}");
                 }
                 return stream;
             }
--- a/crates/serving/src/peer_client.rs
+++ b/crates/serving/src/peer_client.rs
@@ -13,6 +13,7 @@
 use coltsfootpick_core::loans::SettlementBatch;
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::units::Tokens;
+use coltsfootpick_process::socket_limits;
 use coltsfootpick_wire::ceilings::into_report;
 use coltsfootpick_wire::loans::{LoanMessage, LoanRequestMessage};
 use futures_util::{SinkExt, StreamExt};
@@ -209,7 +210,7 @@
         requests: &mut mpsc::Receiver<QueuedRequest>,
         open: &mut BTreeMap<u64, OpenRequest>,
     ) -> String {
-        if let Err(error) = stream.set_nodelay(true) {
+        if let Err(error) = stream.set_nodelay(true).and_then(|()| socket_limits::PEER.apply(&stream)) {
             return error.to_string();
         }
         let mut frames = framed(stream);
--- a/crates/serving/src/peer_server.rs
+++ b/crates/serving/src/peer_server.rs
@@ -8,6 +8,7 @@
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::quarantine::SuspectReport;
 use coltsfootpick_core::units::Tokens;
+use coltsfootpick_process::socket_limits;
 use coltsfootpick_wire::ceilings::into_report;
 use coltsfootpick_wire::loans::{LoanMessage, LoanRequestMessage};
 use futures_util::future::BoxFuture;
@@ -87,7 +88,7 @@
 pub async fn serve_peers(listener: TcpListener, handler: Arc<dyn PeerHandler>) {
     let book = Arc::new(Mutex::new(LoanBook::default()));
     loop {
-        let stream = accept_next(&listener, "a peer connection").await;
+        let stream = accept_next(&listener, "a peer connection", socket_limits::PEER).await;
         let connection = PeerConnection { handler: Arc::clone(&handler), book: Arc::clone(&book), revision: 0 };
         tokio::spawn(connection.run(stream));
     }
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -7,21 +7,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootpick_process::socket_limits;
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// Time limit for connecting; a healthy connection takes two round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time after which unacknowledged bytes close a connection (`TCP_USER_TIMEOUT`), so that a network cut is noticed.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(3);
-
 /// Time for which an idle connection is reused if the server states no keep-alive time; servers keep theirs longer.
 const IDLE_TIME_DEFAULT: Duration = Duration::from_millis(900);
 
@@ -138,8 +135,7 @@
             _ => failed(&error),
         })?;
         stream.set_nodelay(true).map_err(|error| failed(&error))?;
-        let configured = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
-        configured.map_err(|error| failed(&error))?;
+        socket_limits::SERVER.apply(&stream).map_err(|error| failed(&error))?;
         let handshake = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|error| failed(&error))?;
         let address = self.address;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -9,7 +9,7 @@
 use coltsfootpick_core::refusal::{Code, Refusal, RunStatus};
 use coltsfootpick_core::routes::RepeatPolicy;
 use coltsfootpick_core::stream_origins::StreamOrigin;
-use coltsfootpick_core::units::Tokens;
+use coltsfootpick_core::units::{Instant, Tokens};
 use futures_util::{StreamExt, stream};
 use http::response::Parts;
 
@@ -37,7 +37,7 @@
         let ServerExchange { response, server, guard } = current;
         let error = match response.read_body(&handler.board, &server, admitted.deadline).await {
             Ok((head, body)) => {
-                note_response(&server, &head, guard.elapsed());
+                note_response(&server, &head, guard.elapsed(), handler.board.clock.now());
                 handler.board.quarantine.lock().record_completion(admitted.fingerprint, handler.board.clock.now());
                 if head.status.is_success() {
                     crash_detection::note_answer_end(&handler.board, &admitted, &server, &head, 0);
@@ -101,13 +101,13 @@
 }
 
 /// Updates the health and latency of the server that sent a response.
-fn note_response(server: &Server, head: &Parts, latency: Duration) {
+fn note_response(server: &Server, head: &Parts, latency: Duration, now: Instant) {
     let mut load = server.load.lock();
     match head.status.is_server_error() {
         true => load.note_error(),
         false => {
             load.note_success();
-            load.note_latency(latency);
+            load.note_latency(latency, now);
         }
     }
 }
@@ -229,8 +229,8 @@
     fn end(&mut self, exchange: ServerExchange) {
         let ServerExchange { response, server, guard } = exchange;
         self.admitted.update_usage(GenerationProgress::Complete(self.splitter.events()));
-        note_response(&server, &response.head, guard.elapsed());
         let board = &self.handler.board;
+        note_response(&server, &response.head, guard.elapsed(), board.clock.now());
         board.quarantine.lock().record_completion(self.admitted.fingerprint, board.clock.now());
         crash_detection::note_answer_end(board, &self.admitted, &server, &response.head, self.splitter.events());
         let used = self.admitted.reservation.as_ref().map_or(Tokens::ZERO, CreditReservation::used);
--- a/crates/serving/tests/lost_paths.rs
+++ b/crates/serving/tests/lost_paths.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use coltsfootpick_core::path_health::PathState;
 use coltsfootpick_serving::outcome::RequestOutcome;
 use coltsfootpick_testkit::keyed_store::KeyedStore;
 use coltsfootpick_testkit::relay::{Cut, TcpRelay};
@@ -83,3 +84,106 @@
         "the instance that was cut off served {served} of {sent}, the other {others_served} of {others_sent}"
     );
 }
+
+fn state(harness: &RequestHarness) -> PathState {
+    harness.handler.board.paths.of(&"service".into()).state()
+}
+
+/// A cut is known within half a second of the load above, and requests use the path again within two after its end.
+#[test_case(Cut::Hang)]
+#[test_case(Cut::Reset)]
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_and_returned(cut: Cut) {
+    let fleet = TestFleet::start(true).await;
+    first_tries(&fleet.cut, "read", Duration::from_secs(1)).await;
+    fleet.cut(cut);
+    let handler = fleet.cut.handler.clone();
+    let load = tokio::spawn(async move {
+        for _ in 0..100 {
+            let handler = handler.clone();
+            tokio::spawn(async move { handler.serve(request("read")).await });
+            tokio::time::sleep(REQUEST_INTERVAL).await;
+        }
+    });
+    // A silence of 200 ms is noticed at the next check, and probes are given 250 ms.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(state(&fleet.cut), PathState::Lost);
+    fleet.links.iter().for_each(TcpRelay::heal);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(state(&fleet.cut), PathState::Sound);
+    let (sent, served) = first_tries(&fleet.cut, "apply", Duration::from_secs(1)).await;
+    assert_eq!(served, sent);
+    load.await.unwrap();
+}
+
+/// One request a second is enough to know of a cut within the stable window.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_at_low_load() {
+    let fleet = TestFleet::start(true).await;
+    first_tries(&fleet.cut, "read", Duration::from_millis(500)).await;
+    fleet.cut(Cut::Hang);
+    let handler = fleet.cut.handler.clone();
+    tokio::time::sleep(Duration::from_millis(950)).await;
+    tokio::spawn(async move { handler.serve(request("apply")).await });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(state(&fleet.cut), PathState::Lost);
+    assert_eq!(first_tries(&fleet.cut, "apply", Duration::from_millis(200)).await.1, 4);
+}
+
+/// The loss of the path puts no request into quarantine, blames no part of a prompt and ejects no server.
+#[test_case(Cut::Hang)]
+#[test_case(Cut::Reset)]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_blame(cut: Cut) {
+    let fleet = TestFleet::start(true).await;
+    first_tries(&fleet.cut, "read", Duration::from_millis(500)).await;
+    let handler = fleet.cut.handler.clone();
+    let slow = tokio::spawn(async move { handler.serve(request("ask")).await });
+    fleet.cut(cut);
+    first_tries(&fleet.cut, "read", Duration::from_secs(2)).await;
+    slow.await.unwrap();
+    let board = &fleet.cut.handler.board;
+    assert_eq!(board.quarantine.lock().reports_since(0, 8, board.clock.now()).0.len(), 0);
+    assert_eq!(board.part_blame.lock().convicted_count(board.clock.now()), 0);
+    fleet.links.iter().for_each(TcpRelay::heal);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let servers = board.servers.of_service(&"service".into());
+    assert!(servers.iter().all(|server| !server.load.lock().is_ejected(board.clock.now()) && !server.is_unreached()));
+}
+
+/// A server that is silent for a second and goes on answers the request that it had; none is repeated or blamed.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_second() {
+    let silent = vec![ServerAction::Wait(Duration::from_millis(1_100)), response(200, "", "late")];
+    // Long enough for the load to need several servers.
+    let sound = || vec![vec![ServerAction::Wait(Duration::from_millis(100)), response(200, "", "done")]];
+    let first = ScriptedServer::start(vec![silent, sound().remove(0)]).await;
+    let mut servers = vec![first];
+    for _ in 0..3 {
+        servers.push(ScriptedServer::start(sound()).await);
+    }
+    let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+    let harness = RequestHarness::start("edge-a", &KeyedStore::default(), &addresses);
+    let (sent, served) = first_tries(&harness, "read", Duration::from_secs(8)).await;
+    assert_eq!(served, sent);
+    let arrived: usize = servers.iter().map(|server| server.recorded().requests.len()).sum();
+    assert_eq!(arrived, sent, "no request is repeated");
+    let (again, even) = (servers[0].recorded().requests.len() - 1, sent / 4);
+    assert!(again * 4 >= even, "{again} requests after the silence, an even share would be {even}");
+    assert_eq!(state(&harness), PathState::Sound);
+    let board = &harness.handler.board;
+    assert_eq!(board.quarantine.lock().reports_since(0, 8, board.clock.now()).0.len(), 0);
+}
+
+/// A crashed server beside sound ones is blamed on its request, not taken for a lost path.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashed_server() {
+    let crashing = ScriptedServer::start_crashing("").await;
+    let sound = ScriptedServer::start(vec![vec![response(200, "", "done")]]).await;
+    let harness = RequestHarness::start("edge-a", &KeyedStore::default(), &[crashing.address, sound.address]);
+    first_tries(&harness, "apply", Duration::from_millis(500)).await;
+    let board = &harness.handler.board;
+    assert_eq!(crashing.recorded().requests.len(), 1);
+    assert_eq!(board.quarantine.lock().reports_since(0, 8, board.clock.now()).0.len(), 1);
+    assert_eq!(state(&harness), PathState::Sound);
+}
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -19,6 +19,8 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 
+/// Callers' requests are forwarded with `x-id`, `x-key`, `x-left` and `x-size`.
+///
 /// Sends the headers `x-id`, `x-server`, `x-left`, `x-account` and `x-resumes`. The header `x-not-run` of a response
 /// says that the request did not run, `x-leaving` that the server leaves, `x-pause` how many seconds it wants nothing, `x-limit` how
 /// many requests a second it takes, `x-brittle` how many it may reject in a second.
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -142,6 +142,9 @@
     }
 }
 
+/// Time after which a connection that is not answered shows that the queue is full.
+const FILL_TIME: Duration = Duration::from_millis(20);
+
 /// Length of the queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1_024;
 
@@ -161,8 +164,9 @@
         let blocker = match cut {
             Cut::Hang => {
                 let full = listen(address, 0).await;
-                let waiting = [TcpStream::connect(address).await, TcpStream::connect(address).await];
-                Some((full, waiting))
+                let first = TcpStream::connect(address).await;
+                let second = tokio::time::timeout(FILL_TIME, TcpStream::connect(address)).await;
+                Some((full, first, second))
             }
             Cut::Reset | Cut::RefuseNew => None,
         };
