Add a failing test: a stream goes on at another version after all were killed

Cause: records of versions are written only while several versions serve. If all instances are killed as the last server of a version leaves, the list after the start shows one version and any stream is taken up there. Change: the test kills all instances after a stream began at the only version and starts one with a server of another version; with the same version the stream must go on. Result: red in its first case: events 1 to 3 of v1 and 4 to 6 of v1.1 in one stream; the second case passes.

--- a/crates/serving/tests/resumed_streams.rs
+++ b/crates/serving/tests/resumed_streams.rs
@@ -259,3 +259,22 @@
     let answer = read(harness.handler.serve(take_up(Some("elsewhere"))).await).await;
     assert_eq!(answer.unwrap(), (events(4..=6), true));
 }
+
+/// All instances are killed as the servers of the version that began a stream have just left.
+#[test_case("v1.1", false; "another version serves after the start")]
+#[test_case("v1", true; "one version is provable after the start")]
+#[tokio::test]
+async fn killed_as_version_left(version: &str, goes_on: bool) {
+    let first = first_server(vec![ServerAction::Wait(Duration::from_secs(30))]).await;
+    let (next, store) = (whole_server().await, KeyedStore::default());
+    let before = [start("edge-a", &store).await, start("edge-b", &store).await];
+    list(&before[1], "a", &first, "v1");
+    let stream = begin(&before[0], &first, "v1").await;
+    tokio::time::sleep(TOLD).await;
+    before.iter().for_each(|harness| harness.stop.cancel());
+    let after = start("edge-a", &store).await;
+    list(&after, "b", &next, version);
+    let answer = read(after.handler.serve(take_up(Some(&stream))).await).await;
+    assert_eq!(answer.is_ok(), goes_on, "{answer:?}");
+    assert_eq!(arrivals(&next), usize::from(goes_on));
+}
