Prove after a start that all servers had one version before a stream is taken up

What callers saw: streams that broke off when all instances were killed went on at servers of another version, answered 200, with nothing in the answer to show it. Cause: versions were recorded only while several served, and finding no record of a second version passed for proof of a single one. Class: absence of evidence taken for evidence. Change: every run records the versions that serve, six instances renew theirs each 10 s; after a start a stream that nobody knows goes on only if another run's recent record names exactly the version in service. Resumable streams begin at recorded versions.

--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -3,7 +3,7 @@
 //! Callers take a stream up at any instance, often because the one that began it has died, so instances tell each other
 //! while servers of several versions serve. What nobody knows goes on nowhere. See `docs/ROUTING.md#versions`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use derive_more::Display;
@@ -15,6 +15,18 @@
 /// Time for which an origin is remembered; streams are shorter.
 pub const ORIGIN_TTL: Duration = Duration::from_secs(20);
 
+/// Interval at which a few instances report the versions that serve, also when nothing changes.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Clocks of two instances may differ by this much.
+pub const CLOCK_MARGIN: Duration = Duration::from_secs(5);
+
+/// Age of a report up to which its servers may be serving still.
+const REPORT_AGE_MARGIN: Duration = Duration::from_secs(REPORT_INTERVAL.as_secs() + CLOCK_MARGIN.as_secs());
+
+/// Age from which a report tells nothing of versions that served lately.
+pub const REPORT_TTL: Duration = Duration::from_secs(ORIGIN_TTL.as_secs() + REPORT_AGE_MARGIN.as_secs());
+
 /// Maximum number of streams that are remembered, the newest ones.
 const STREAMS_MAX: usize = 65_536;
 
@@ -93,6 +105,10 @@
     order: VecDeque<(Instant, StreamKey)>,
     /// When servers of each origin served last.
     served: BTreeMap<StreamOrigin, Instant>,
+    /// Services of which other runs have told which versions served lately, and until when that counts.
+    attested: BTreeMap<ServiceName, Instant>,
+    /// Origins that the record of this run names, so that they outlast the death of all instances.
+    recorded: BTreeSet<StreamOrigin>,
     has_news: bool,
 }
 
@@ -110,14 +126,20 @@
 
     /// Records that a stream has brought an event from a server of `origin` at this instance.
     pub fn note_stream(&mut self, key: StreamKey, origin: StreamOrigin, now: Instant) {
-        self.has_news = true;
+        // Streams of a single version need no record each: the version itself is recorded.
+        self.has_news |= self.is_mixed(&origin.service, now);
         self.insert(key, KnownStream { origin, at: now, is_own: true });
     }
 
-    /// Adds what another instance, or an earlier run of this one, has reported.
-    pub fn merge(&mut self, reports: Vec<OriginReport>, now: Instant) {
+    /// Adds what another instance, or an earlier run of this one, reported `age` ago.
+    ///
+    /// Its servers may have served until its next report was due, also if it died in between.
+    pub fn merge(&mut self, reports: Vec<OriginReport>, age: Duration, now: Instant) {
+        let served_at = Instant(now.0.saturating_sub(age.saturating_sub(REPORT_AGE_MARGIN)));
         for OriginReport { origin, streams } in reports {
-            self.served.entry(origin.clone()).or_insert(now);
+            let known = self.served.entry(origin.clone()).or_insert(served_at);
+            *known = served_at.max(*known);
+            self.attested.insert(origin.service.clone(), served_at.after(ORIGIN_TTL));
             for key in streams {
                 if !self.streams.contains_key(&key) {
                     self.insert(key, KnownStream { origin: origin.clone(), at: now, is_own: false });
@@ -143,6 +165,23 @@
         }
     }
 
+    /// Whether another run has told which versions of `service` served within [`ORIGIN_TTL`].
+    ///
+    /// That no record names a second version proves nothing unless there is one that names the first.
+    pub fn is_attested(&self, service: &ServiceName, now: Instant) -> bool {
+        self.attested.get(service).is_some_and(|until| *until > now)
+    }
+
+    /// Records that the record of this run names these origins.
+    pub fn note_recorded(&mut self, origins: impl IntoIterator<Item = StreamOrigin>) {
+        self.recorded = origins.into_iter().collect();
+    }
+
+    /// Whether the record of this run names an origin.
+    pub fn is_recorded(&self, origin: &StreamOrigin) -> bool {
+        self.recorded.contains(origin)
+    }
+
     /// Whether servers of several versions have served within [`ORIGIN_TTL`].
     pub fn is_mixed(&self, service: &ServiceName, now: Instant) -> bool {
         let recent = self.served.iter().filter(|(_, at)| now.since(**at) < ORIGIN_TTL);
@@ -159,17 +198,16 @@
         self.has_news = true;
     }
 
-    /// Own streams at services with several versions, the newest ones, and those versions.
+    /// All versions that served lately, with the newest own streams of services that have several of them.
     pub fn own_reports(&self, now: Instant) -> Vec<OriginReport> {
-        let mixed = self.served.keys().filter(|origin| self.is_mixed(&origin.service, now));
-        let mut reports: BTreeMap<&StreamOrigin, Vec<StreamKey>> = mixed.map(|origin| (origin, Vec::new())).collect();
-        if reports.is_empty() {
-            return Vec::new();
-        }
+        let recent = self.served.iter().filter(|(_, at)| now.since(**at) < ORIGIN_TTL);
+        let mut reports: BTreeMap<&StreamOrigin, Vec<StreamKey>> =
+            recent.map(|(origin, _)| (origin, Vec::new())).collect();
         let recent = self.order.iter().rev().filter_map(|(_, key)| Some((key, self.streams.get(key)?)));
         for (key, known) in recent.filter(|(_, known)| known.is_own).take(REPORTED_MAX) {
-            if let Some(streams) = reports.get_mut(&known.origin) {
-                streams.push(*key);
+            match reports.get_mut(&known.origin) {
+                Some(streams) if self.is_mixed(&known.origin.service, now) => streams.push(*key),
+                _ => {}
             }
         }
         let report = |(origin, streams): (&StreamOrigin, _)| OriginReport { origin: origin.clone(), streams };
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -8,7 +8,6 @@
 use coltsfootpick_core::link_load::CHUNK_OVERHEAD_BYTES;
 use coltsfootpick_core::refusal::{Code, Refusal, RunStatus};
 use coltsfootpick_core::routes::RepeatPolicy;
-use coltsfootpick_core::stream_origins::StreamOrigin;
 use coltsfootpick_core::units::{Instant, Tokens};
 use futures_util::{StreamExt, stream};
 use http::response::Parts;
@@ -23,7 +22,7 @@
 use crate::open_request::OpenRequest;
 use crate::outcome::{EventStream, RequestOutcome, ResponseBody, StreamAborted};
 use crate::request_handler::{RequestHandler, ServerExchange, has_crashed};
-use crate::servers::{Server, ServerEntry};
+use crate::servers::Server;
 
 /// Buffers the whole response before it is relayed, so that the request can still be repeated if the response breaks off.
 pub async fn buffer_response(
@@ -180,8 +179,7 @@
     fn note_origin(&mut self, server: &Server) {
         let board = &self.handler.board;
         if self.splitter.events() > 0 && !self.is_noted {
-            let ServerEntry { service, version, .. } = &server.entry;
-            let origin = StreamOrigin { service: service.clone(), version: version.clone() };
+            let origin = server.entry.origin();
             if self.admitted.route.repeat == RepeatPolicy::Resumable {
                 board.stream_origins.lock().note_stream(self.admitted.stream, origin.clone(), board.clock.now());
             }
--- a/crates/serving/src/server_choice.rs
+++ b/crates/serving/src/server_choice.rs
@@ -5,6 +5,7 @@
 
 use coltsfootpick_core::brittle_servers::Room;
 use coltsfootpick_core::names::ServiceName;
+use coltsfootpick_core::routes::RepeatPolicy;
 use coltsfootpick_core::selection::{Candidate, Selection, SelectionRequest, choose};
 
 use tokio::time::Instant;
@@ -46,6 +47,7 @@
         if usable.iter().any(|server| !server.is_unreached()) {
             usable.retain(|server| !server.is_unreached() || server.pool.has_idle());
         }
+        self.keep_recorded(admitted, &mut usable);
         if admitted.trial.is_some() {
             keep_least_used(&mut usable);
         }
@@ -71,6 +73,19 @@
         Some((Arc::clone(server), selection))
     }
 
+    /// Keeps servers whose software version the store knows of, if a resumable stream begins and there are any: should all
+    /// instances be killed, the stream must not be taken for one of the version that serves after the start.
+    fn keep_recorded(&self, admitted: &AdmittedRequest, servers: &mut Vec<&Arc<Server>>) {
+        if admitted.route.repeat != RepeatPolicy::Resumable || admitted.origin.is_some() {
+            return;
+        }
+        let origins = self.board.stream_origins.lock();
+        let is_recorded = |server: &&Arc<Server>| origins.is_recorded(&server.entry.origin());
+        if servers.iter().any(is_recorded) {
+            servers.retain(is_recorded);
+        }
+    }
+
     /// Selects a server as [`Self::select_server`] does. Where brittle servers have no room, waits for it for half of the
     /// latency objective at most, since a rejected request could make them fall over.
     pub async fn await_server(&self, admitted: &AdmittedRequest) -> Option<(Arc<Server>, Selection)> {
--- a/crates/serving/src/servers.rs
+++ b/crates/serving/src/servers.rs
@@ -49,6 +49,11 @@
         ServerRun { name: self.name.clone(), started_at: self.started_at }
     }
 
+    /// Service and software version, which bind the streams that the server begins.
+    pub fn origin(&self) -> StreamOrigin {
+        StreamOrigin { service: self.service.clone(), version: self.version.clone() }
+    }
+
     fn is_same_run(&self, other: &Self) -> bool {
         self.address == other.address
             && self.service == other.service
--- a/crates/serving/src/stream_registry.rs
+++ b/crates/serving/src/stream_registry.rs
@@ -1,8 +1,8 @@
 //! Tells the other instances which software version began each stream, and learns it from them when a caller takes a
 //! stream up. See `docs/ROUTING.md#versions`.
 //!
-//! Each run keeps one record in the store and writes it only while servers of several versions serve. The records are
-//! read when a caller takes up a stream that this instance does not know.
+//! Each run keeps one record in the store. It names the versions that serve and, while there are several, the streams of
+//! each. The records are read when a caller takes up a stream that this instance does not know.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -10,7 +10,9 @@
 
 use coltsfootpick_core::ceilings::instance_of;
 use coltsfootpick_core::names::ServiceName;
-use coltsfootpick_core::stream_origins::{Continuation, ORIGIN_TTL, OriginReport, StreamKey};
+use coltsfootpick_core::stream_origins::{
+    Continuation, ORIGIN_TTL, OriginReport, REPORT_INTERVAL, REPORT_TTL, StreamKey, StreamOrigin,
+};
 use coltsfootpick_wire::stream_origins::StreamRecordMessage;
 use prost::Message;
 use tokio::time::Instant;
@@ -43,8 +45,11 @@
 /// Time since the last answer of the store up to which the list of servers counts as complete.
 const LIST_AGE_MAX: Duration = Duration::from_secs(2);
 
-/// Clocks of two instances may differ by this much.
-const CLOCK_MARGIN: Duration = Duration::from_secs(5);
+/// Instances that report the versions in service also when nothing changes.
+const REPORTERS: u32 = 6;
+
+/// Key of the order in which instances report.
+const REPORTERS_KEY: u64 = 0x7665_7273_696f_6e73;
 
 /// Read of all records.
 #[derive(Clone, Copy, Debug)]
@@ -78,9 +83,8 @@
     /// Where a stream may go on that a caller takes up; reads the records of the others if this instance cannot tell, and
     /// once more after they had time to write.
     pub async fn continuation(&self, key: Option<StreamKey>, service: &ServiceName) -> Continuation {
-        let knows_past = self.has_read.load(Ordering::Relaxed) || self.started.elapsed() >= ORIGIN_TTL;
-        let knows_servers = knows_past && self.board.store_silence() < LIST_AGE_MAX;
-        let mut found = self.known(key, service, knows_servers);
+        let is_list_current = self.board.store_silence() < LIST_AGE_MAX;
+        let mut found = self.known(key, service, is_list_current && self.knows_past(service));
         // The record of a stream that has just begun is written within one interval.
         for wait in [Duration::ZERO, self.write_interval() + APPEND_TIME] {
             if found != Continuation::Unknown {
@@ -90,7 +94,7 @@
             if !self.refresh().await {
                 break;
             }
-            found = self.known(key, service, true);
+            found = self.known(key, service, self.knows_past(service));
             if key.is_none() {
                 break;
             }
@@ -98,6 +102,16 @@
         found
     }
 
+    /// Whether this instance knows all versions of `service` that have served within [`ORIGIN_TTL`]: it has seen them itself,
+    /// or another run has told it.
+    fn knows_past(&self, service: &ServiceName) -> bool {
+        let is_told = || {
+            let now = self.board.clock.now();
+            self.has_read.load(Ordering::Relaxed) && self.board.stream_origins.lock().is_attested(service, now)
+        };
+        self.started.elapsed() >= ORIGIN_TTL || is_told()
+    }
+
     fn known(&self, key: Option<StreamKey>, service: &ServiceName, knows_servers: bool) -> Continuation {
         let (now, present) = (self.board.clock.now(), self.board.servers.origins());
         let mut origins = self.board.stream_origins.lock();
@@ -117,9 +131,9 @@
         let Ok(Ok((records, _))) = read else { return false };
         let bytes: usize = records.iter().filter_map(|record| Some(record.value.as_ref()?.len())).sum();
         *last_read = Some(LastRead { began, next: began + self.read_pause(bytes) });
-        for record in records {
-            if let Some(reports) = self.decode(&record) {
-                self.board.stream_origins.lock().merge(reports, self.board.clock.now());
+        for record in records.into_iter().filter(|record| record.key != self.run) {
+            if let Some((reports, age)) = self.decode(&record) {
+                self.board.stream_origins.lock().merge(reports, age, self.board.clock.now());
             }
         }
         self.has_read.store(true, Ordering::Relaxed);
@@ -134,8 +148,8 @@
         READ_PAUSE_MIN.max(Duration::from_secs_f64(seconds))
     }
 
-    /// Reports of a record that may still matter.
-    fn decode(&self, record: &KeyedRecord) -> Option<Vec<OriginReport>> {
+    /// Reports of a record that may still matter, and its age.
+    fn decode(&self, record: &KeyedRecord) -> Option<(Vec<OriginReport>, Duration)> {
         let message = match StreamRecordMessage::decode(record.value.clone()?) {
             Ok(message) => message,
             Err(error) => {
@@ -145,12 +159,12 @@
         };
         let age = Duration::from_millis(self.board.clock.unix_millis().saturating_sub(message.at));
         let reports = message.reports.into_iter().map(Into::into).collect();
-        Some(reports).filter(|_| age < ORIGIN_TTL + CLOCK_MARGIN)
+        Some((reports, age)).filter(|_| age < REPORT_TTL)
     }
 
     /// Keeps the record of this run up to date until `stop` is cancelled.
     pub async fn run(self: Arc<Self>, stop: CancellationToken) {
-        let mut is_written = false;
+        let mut written_at: Option<Instant> = None;
         let mut has_cleaned = false;
         while tokio::time::timeout(self.write_interval(), stop.cancelled()).await.is_err() {
             if !self.has_read.load(Ordering::Relaxed) {
@@ -163,9 +177,10 @@
                 origins.note_servers(present, now);
                 (origins.own_reports(now), origins.take_news())
             };
-            let is_due = has_news && (is_written || !reports.is_empty());
-            if is_due {
-                is_written = !reports.is_empty();
+            let is_reporter = || self.board.trial_turn(REPORTERS_KEY) < REPORTERS;
+            let is_old = written_at.is_some_and(|at| at.elapsed() >= REPORT_INTERVAL) && is_reporter();
+            if !reports.is_empty() && (has_news || is_old) {
+                written_at = Some(Instant::now());
                 self.write(reports).await;
             }
             if !has_cleaned && self.started.elapsed() >= ORIGIN_TTL * 2 {
@@ -182,12 +197,17 @@
 
     async fn write(&self, reports: Vec<OriginReport>) {
         let at = self.board.clock.unix_millis();
+        let origins: Vec<StreamOrigin> = reports.iter().map(|report| report.origin.clone()).collect();
         let message = StreamRecordMessage { at, reports: reports.into_iter().map(Into::into).collect() };
-        let value = Some(message.encode_to_vec().into()).filter(|_| !message.reports.is_empty());
-        let record = KeyedRecord { key: Arc::clone(&self.run), value };
-        if let Err(error) = self.store.append(Topic::Streams, None, vec![record]).await {
-            log::debug!("streams not written: {error}");
-            self.board.stream_origins.lock().repeat_reports();
+        let record = KeyedRecord { key: Arc::clone(&self.run), value: Some(message.encode_to_vec().into()) };
+        let written = self.store.append(Topic::Streams, None, vec![record]).await;
+        let mut known = self.board.stream_origins.lock();
+        match written {
+            Ok(_) => known.note_recorded(origins),
+            Err(error) => {
+                log::debug!("streams not written: {error}");
+                known.repeat_reports();
+            }
         }
     }
 
--- a/crates/serving/tests/resumed_streams.rs
+++ b/crates/serving/tests/resumed_streams.rs
@@ -207,6 +207,9 @@
 async fn single_version_in_outage(silence: Duration, goes_on: bool) {
     let server = whole_server().await;
     let store = KeyedStore::default();
+    let other = start("edge-b", &store).await;
+    list(&other, "a", &server, "v1");
+    tokio::time::sleep(TOLD).await;
     let harness = start("edge-a", &store).await;
     list(&harness, "a", &server, "v1");
     tokio::time::sleep(TOLD).await;
@@ -250,12 +253,14 @@
     assert_eq!((refusal.run, arrivals(&old) + arrivals(&new)), (RunStatus::NotRun, 0));
 }
 
-/// While all servers have one version, a stream that nobody knows can go on.
+/// While all servers have one version, as another instance has told, a stream that nobody knows can go on.
 #[tokio::test]
 async fn single_version() {
-    let server = whole_server().await;
-    let harness = start("edge-a", &KeyedStore::default()).await;
+    let (server, store) = (whole_server().await, KeyedStore::default());
+    let (other, harness) = (start("edge-b", &store).await, start("edge-a", &store).await);
+    list(&other, "a", &server, "v1");
     list(&harness, "a", &server, "v1");
+    tokio::time::sleep(TOLD).await;
     let answer = read(harness.handler.serve(take_up(Some("elsewhere"))).await).await;
     assert_eq!(answer.unwrap(), (events(4..=6), true));
 }
