--- a/crates/serving/tests/resumed_streams.rs
+++ b/crates/serving/tests/resumed_streams.rs
@@ -276,7 +276,9 @@
     list(&before[1], "a", &first, "v1");
     let stream = begin(&before[0], &first, "v1").await;
     tokio::time::sleep(TOLD).await;
-    before.iter().for_each(|harness| harness.stop.cancel());
+    for harness in &before {
+        harness.stop.cancel();
+    }
     let after = start("edge-a", &store).await;
     list(&after, "b", &next, version);
     let answer = read(after.handler.serve(take_up(Some(&stream))).await).await;
