Play a power cut of all instances at the moment at which the store falls back

Cause: the users' pages say that all machines may lose power as disks are lost; no test had all instances die in the moment of an older copy. Servers with all connections in use were also set aside as unreachable, and each suspicion asked peers before the first probe. Change: power_lost_with_disks, once and three times; only failed connections set a server aside; peers are asked when a probe takes longer than a connection should.

--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -20,7 +20,7 @@
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::paths::ServicePath;
-use crate::pool::Lease;
+use crate::pool::{ConnectError, Lease};
 use crate::request::CallerRequest;
 use crate::servers::Server;
 
@@ -295,9 +295,11 @@
     match tokio::time::timeout_at(deadline, server.pool.connect(limit)).await {
         Ok(Ok(lease)) => {
             path.note_connected();
+            server.set_unreached(false);
             Ok(lease)
         }
         Ok(Err(error)) => {
+            server.set_unreached(!matches!(error, ConnectError::Full(_)));
             path.note_connect_error(&server.entry.name, &error, board.servers.usable_count(&server.entry.service));
             Err(DispatchError::NotSent(error.to_string()))
         }
--- a/crates/serving/src/path_controller.rs
+++ b/crates/serving/src/path_controller.rs
@@ -67,13 +67,16 @@
 }
 
 /// Probes the first server, and the others if it takes longer than a connection usually does.
-async fn probe_any(board: &Blackboard, path: &ServicePath, servers: &[Arc<Server>]) -> bool {
+///
+/// Peers are asked as soon as the first one has not answered, so that they are known once the path counts as lost.
+async fn probe_any(board: &Blackboard, path: &ServicePath, servers: &[Arc<Server>], forwarder: &Forwarder) -> bool {
     let Some((first, rest)) = servers.split_first() else { return false };
     let mut first = std::pin::pin!(probe(board, path, first));
     let at_once = tokio::time::timeout(HEDGE_DELAY, first.as_mut()).await;
     if at_once == Ok(true) {
         return true;
     }
+    forwarder.prepare();
     let others = join_all(rest.iter().map(|server| probe(board, path, server)));
     match at_once {
         Ok(_) => others.await.contains(&true),
@@ -142,11 +145,10 @@
     }
 
     fn probe_service(&self, service: ServiceName, path: Arc<ServicePath>, count: usize) {
-        self.forwarder.prepare();
-        let board = Arc::clone(&self.board);
+        let (board, forwarder) = (Arc::clone(&self.board), Arc::clone(&self.forwarder));
         tokio::spawn(async move {
             let servers = pick_servers(&board, &path, &service, count);
-            let is_reached = probe_any(&board, &path, &servers).await;
+            let is_reached = probe_any(&board, &path, &servers, &forwarder).await;
             path.end_probe();
             if is_reached && path.state() == PathState::Returning {
                 forgive(&board, &service);
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -329,7 +329,6 @@
             }
             DispatchError::Rejected | DispatchError::DeadlinePassed | DispatchError::PathLost => None,
             DispatchError::NotSent(_) => {
-                server.set_unreached(true);
                 self.eject(server);
                 None
             }
--- a/crates/serving/tests/restored_store.rs
+++ b/crates/serving/tests/restored_store.rs
@@ -16,6 +16,7 @@
 use coltsfootpick_testkit::keyed_store::KeyedStore;
 use coltsfootpick_testkit::plain_protocol::PlainProtocol;
 use coltsfootpick_testkit::request_harness::{ACCOUNT, PREPAID, RequestHarness};
+use test_case::test_case;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -177,3 +178,46 @@
     tokio::time::sleep(READ_TIME).await;
     assert_eq!(store.latest_values(Topic::Instances).get("edge-a"), record.value.as_ref());
 }
+
+/// All instances lose power at the moment at which the store loses its newest records, and start from the older copy.
+#[test_case(1; "one power cut")]
+#[test_case(3; "one after another")]
+#[tokio::test(start_paused = true)]
+async fn power_lost_with_disks(cuts: usize) {
+    let store = KeyedStore::default();
+    let start = || ["edge-a", "edge-b"].map(|name| RequestHarness::start(name, &store, &[]));
+    let mut fleet = start();
+    let mut used = 0;
+    for _ in 0..cuts {
+        for instance in &fleet {
+            instance.wait_for_credit().await;
+        }
+        tokio::time::sleep(COPY_AGE * 2).await;
+        used += use_part(&fleet[0], 20_000).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        used += use_part(&fleet[1], 20_000).await;
+        fleet.iter().for_each(|instance| instance.stop.cancel());
+        store.restore_copy(COPY_AGE);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        fleet = start();
+        tokio::time::sleep(Duration::from_secs(6)).await;
+    }
+    for instance in &fleet {
+        used += use_all(instance, 500).await;
+    }
+    assert!(used <= PREPAID, "{used} of {PREPAID} tokens used");
+    assert!(used > PREPAID / 2, "only {used} of {PREPAID} tokens can be used after the power cut");
+}
+
+/// Uses up to a tenth of the account.
+async fn use_part(harness: &RequestHarness, step: u64) -> u64 {
+    let mut used = 0;
+    while used < PREPAID / 10 {
+        let until = Instant::now() + Duration::from_millis(500);
+        let reserved = harness.handler.credit.reserve(&ACCOUNT.into(), Tokens(step), Tokens(PREPAID), until).await;
+        let Ok(mut reservation) = reserved else { break };
+        reservation.set_used(Tokens(step));
+        used += step;
+    }
+    used
+}
