--- a/crates/serving/tests/restored_store.rs
+++ b/crates/serving/tests/restored_store.rs
@@ -196,7 +196,9 @@
         used += use_part(&fleet[0], 20_000).await;
         tokio::time::sleep(Duration::from_millis(600)).await;
         used += use_part(&fleet[1], 20_000).await;
-        fleet.iter().for_each(|instance| instance.stop.cancel());
+        for instance in &fleet {
+            instance.stop.cancel();
+        }
         store.restore_copy(COPY_AGE);
         tokio::time::sleep(Duration::from_secs(1)).await;
         fleet = start();
