Name the parts of a brittle server's use, and check the forwarding address

Cause: reading the change as a newcomer would: unnamed triples, a turn named for its first use, an address that fails without a fault if no port follows that of peers, and a count from the port between instances that could overflow. Change: ServerUse, fleet_turn, a fault that names the key, a bound on the count; tests. Result: forwarding, brittle_servers and settings pass.

--- a/crates/core/src/brittle_servers.rs
+++ b/crates/core/src/brittle_servers.rs
@@ -84,6 +84,19 @@
     pub threshold: Option<u32>,
 }
 
+/// Server of a brittle service, as one instance uses it.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerUse<'a> {
+    /// Run of the server.
+    pub run: &'a ServerRun,
+    /// Rejections in a second that make it fall over if there are more.
+    pub threshold: u32,
+    /// Number of requests that it runs at the same time.
+    pub slots: u32,
+    /// Number of requests that this instance has open there.
+    pub open: u32,
+}
+
 /// Room of this instance at a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Room {
@@ -208,13 +221,12 @@
         changes
     }
 
-    /// Room at a server of a brittle service at which this instance has `open` requests.
+    /// Room of this instance at a server of a brittle service.
     ///
     /// `turn` is the number of instances before this one in the server's order, of `size` in all.
     pub fn room(
         &mut self,
-        run: &ServerRun,
-        (threshold, slots, open): (u32, u32, u32),
+        ServerUse { run, threshold, slots, open }: ServerUse<'_>,
         size: usize,
         turn: impl FnOnce() -> usize,
         now: Instant,
@@ -244,8 +256,7 @@
     /// Records that a server rejected a request for want of room.
     pub fn note_rejected(
         &mut self,
-        run: &ServerRun,
-        (threshold, slots): (u32, u32),
+        ServerUse { run, threshold, slots, .. }: ServerUse<'_>,
         size: usize,
         turn: impl FnOnce() -> usize,
         now: Instant,
--- a/crates/core/tests/brittle_servers.rs
+++ b/crates/core/tests/brittle_servers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coltsfootpick_core::brittle_servers::{BrittleServers, Room, allowance};
+use coltsfootpick_core::brittle_servers::{BrittleServers, Room, ServerUse, allowance};
 use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::server_limits::{FleetPlace, ServerRun};
 use coltsfootpick_core::units::{ClockReading, Instant};
@@ -46,7 +46,7 @@
     let mut random = ChaCha12Rng::seed_from_u64(size as u64 + u64::from(threshold));
     let mut fleet: Vec<BrittleServers> = (0..size).map(|_| BrittleServers::default()).collect();
     let mut open: Vec<(usize, u64)> = Vec::new();
-    let mut tally = Tally::default();
+    let (mut tally, server) = (Tally::default(), run());
     for ms in (0..12_000).step_by(usize::try_from(STEP_MS).unwrap()) {
         let now = clock(ms).now;
         open.retain(|(_, end)| *end > ms);
@@ -62,7 +62,9 @@
             }
             let own = own_open[at];
             let room = match fleet[at].threshold(&service(), now) {
-                Some(threshold) => fleet[at].room(&run(), (threshold, slots, own), size, || at, now),
+                Some(threshold) => {
+                    fleet[at].room(ServerUse { run: &server, threshold, slots, open: own }, size, || at, now)
+                }
                 None => Room::Free,
             };
             if room != Room::Free {
@@ -75,7 +77,7 @@
                 own_open[at] += 1;
             } else {
                 tally.rejected_at.push(ms);
-                fleet[at].note_rejected(&run(), (threshold, slots), size, || at, now);
+                fleet[at].note_rejected(ServerUse { run: &server, threshold, slots, open: own }, size, || at, now);
             }
         }
     }
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use coltsfootpick_core::brittle_servers::{BrittleServers, Room};
+use coltsfootpick_core::brittle_servers::{BrittleServers, Room, ServerUse};
 use coltsfootpick_core::lenders::{CreditRole, Fleet, FleetMember};
 use coltsfootpick_core::link_load::{LinkChange, LinkLoad};
 use coltsfootpick_core::names::{ClientAccountName, ServiceName};
@@ -315,7 +315,8 @@
         }
         let Some(threshold) = brittle.threshold(&server.service, now) else { return Room::Free };
         let run = server.run();
-        brittle.room(&run, (threshold, server.slots, open), self.sharers_max(), || self.limit_turn(&run), now)
+        let used = ServerUse { run: &run, threshold, slots: server.slots, open };
+        brittle.room(used, self.sharers_max(), || self.limit_turn(&run), now)
     }
 
     /// Records that a server rejected a request, which counts where its service is brittle.
@@ -323,15 +324,15 @@
         let (mut brittle, now) = (self.brittle_servers.lock(), self.clock.now());
         if let Some(threshold) = brittle.threshold(&server.service, now) {
             let run = server.run();
-            let sizes = (threshold, server.slots);
-            brittle.note_rejected(&run, sizes, self.sharers_max(), || self.limit_turn(&run), now);
+            let used = ServerUse { run: &run, threshold, slots: server.slots, open: 0 };
+            brittle.note_rejected(used, self.sharers_max(), || self.limit_turn(&run), now);
             log_event!(LogEvent::BrittleRejection, "server={} threshold={threshold}", server.name);
         }
     }
 
-    /// Number of instances that may try the formerly convicted `part` before this one.
-    pub fn trial_turn(&self, part: u64) -> u32 {
-        self.fleet.read().turn(&self.instance.name, part)
+    /// Number of instances before this one in the order of `key`, which is the same at every instance.
+    pub fn fleet_turn(&self, key: u64) -> u32 {
+        self.fleet.read().turn(&self.instance.name, key)
     }
 
     /// Records whether the last call to the store was answered.
--- a/crates/serving/src/crash_detection.rs
+++ b/crates/serving/src/crash_detection.rs
@@ -84,7 +84,7 @@
     let status = |turn: u32| board.part_blame.lock().status(part, &PartUse { account, weights, turn }, now);
     // The turn takes a pass over the fleet and matters to convicted parts only.
     match status(u32::MAX) {
-        PartStatus::Convicted(_) => status(board.trial_turn(part)),
+        PartStatus::Convicted(_) => status(board.fleet_turn(part)),
         other => other,
     }
 }
--- a/crates/serving/src/forward_server.rs
+++ b/crates/serving/src/forward_server.rs
@@ -37,6 +37,9 @@
 /// Maximum number of connections from other instances.
 const CONNECTIONS_MAX: usize = 512;
 
+/// Most earlier runs that are counted for a forwarded request; routes allow fewer.
+const DISPATCHES_MAX: u32 = 1_000;
+
 /// Time after which an idle connection is closed; longer than the forwarding instance reuses it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -155,7 +158,7 @@
             let refusal = Refusal::not_run(Code::NoBackendServer, reason);
             return send(frames, refused(&refusal, true)).await;
         }
-        let (instance, dispatches) = (message.instance.clone(), message.dispatches);
+        let (instance, dispatches) = (message.instance.clone(), message.dispatches.min(DISPATCHES_MAX));
         let request = match self.decode(message, body, arrived) {
             Ok(request) => request,
             Err(refusal) => return send(frames, refused(&refusal, false)).await,
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -88,6 +88,7 @@
         let locations = read_locations(&mut instance);
         let location = read_location(&mut instance, &locations);
         let settings = (|| {
+            let peer_address = required_address(&mut listen, "peers")?;
             Some(Self {
                 instance: InstanceSpec {
                     name: Arc::from(instance.required("name", "the instance's name")),
@@ -99,8 +100,8 @@
                 locations,
                 caller_address: required_address(&mut listen, "callers")?,
                 status_address: required_address(&mut listen, "ready")?,
-                peer_address: required_address(&mut listen, "peers")?,
-                forward_address: read_forward_address(&mut listen)?,
+                peer_address,
+                forward_address: read_forward_address(&mut listen, peer_address)?,
                 metrics_address: listen.parsed("metrics", "IP:PORT"),
                 store_address: required_address(&mut store, "address")?,
                 grace: Duration::from_secs_f64(instance.decimal("grace-s", 1.0..=3_600.0, GRACE_DEFAULT_S)),
@@ -132,13 +133,13 @@
 }
 
 /// Reads the address for forwarded requests; without one it is the next port after that for other instances.
-fn read_forward_address(listen: &mut Section) -> Option<SocketAddr> {
-    if let Some(address) = listen.parsed("forwards", "IP:PORT") {
-        return Some(address);
+fn read_forward_address(listen: &mut Section, peers: SocketAddr) -> Option<SocketAddr> {
+    let next = peers.port().checked_add(1).map(|port| SocketAddr::new(peers.ip(), port));
+    let address = listen.parsed("forwards", "IP:PORT").or(next);
+    if address.is_none() {
+        listen.add_fault("forwards", "", "IP:PORT, since no port follows that of peers");
     }
-    let mut address: SocketAddr = listen.text("peers")?.parse().ok()?;
-    address.set_port(address.port().checked_add(1)?);
-    Some(address)
+    address
 }
 
 /// Reads the retry limit; a fraction of a retry is not usable and is dropped.
--- a/crates/serving/src/stream_registry.rs
+++ b/crates/serving/src/stream_registry.rs
@@ -177,7 +177,7 @@
                 origins.note_servers(present, now);
                 (origins.own_reports(now), origins.take_news())
             };
-            let is_reporter = || self.board.trial_turn(REPORTERS_KEY) < REPORTERS;
+            let is_reporter = || self.board.fleet_turn(REPORTERS_KEY) < REPORTERS;
             let is_old = written_at.is_some_and(|at| at.elapsed() >= REPORT_INTERVAL) && is_reporter();
             if !reports.is_empty() && (has_news || is_old) {
                 written_at = Some(Instant::now());
--- a/crates/serving/tests/forwarding.rs
+++ b/crates/serving/tests/forwarding.rs
@@ -190,10 +190,18 @@
         ..Default::default()
     };
     let mut frames = framed(TcpStream::connect(address).await.unwrap());
-    let frame = ForwardFrame { kind: Some(ForwardKind::Request(keyless)) };
+    let frame = ForwardFrame { kind: Some(ForwardKind::Request(keyless.clone())) };
     frames.send(Bytes::from(frame.encode_to_vec())).await.unwrap();
     let answer = AnswerFrame::decode(frames.next().await.unwrap().unwrap()).unwrap().kind.unwrap();
     assert!(matches!(answer, AnswerKind::Refused(refusal) if refusal.code == "unauthorized"));
+    let huge = ForwardedRequestMessage {
+        headers: [("x-id", "2"), ("host", "host"), ("x-key", "key")].map(header).to_vec(),
+        dispatches: u32::MAX,
+        ..keyless.clone()
+    };
+    let frame = ForwardFrame { kind: Some(ForwardKind::Request(huge)) };
+    frames.send(Bytes::from(frame.encode_to_vec())).await.unwrap();
+    assert!(frames.next().await.is_some(), "counts from the port cannot overflow");
     for garbage in [&b"\xff\xff\xff\xffgarbage"[..], b"\x00\x00\x00\x03abc", b"\x00\x00\x00\x00"] {
         let mut stream = TcpStream::connect(address).await.unwrap();
         tokio::io::AsyncWriteExt::write_all(&mut stream, garbage).await.unwrap();
@@ -201,7 +209,7 @@
         let read = tokio::io::AsyncReadExt::read(&mut stream, &mut buffer).await;
         assert!(!matches!(read, Ok(count) if count > 0), "the connection is closed without an answer");
     }
-    assert!(server.recorded().requests.is_empty());
+    assert_eq!(server.recorded().requests.len(), 1, "only the request with a valid key ran");
 }
 
 fn header((name, value): (&str, &str)) -> coltsfootpick_wire::forwarding::HeaderMessage {
--- a/crates/serving/tests/settings.rs
+++ b/crates/serving/tests/settings.rs
@@ -84,3 +84,17 @@
     let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
     assert!(lines.iter().any(|line| line.contains(expected)), "{lines:?}");
 }
+
+#[test_case("", "127.0.0.1:4"; "port after peers")]
+#[test_case("\nforwards = 127.0.0.1:9", "127.0.0.1:9"; "own port")]
+fn forward_address(line: &str, expected: &str) {
+    let changed = VALID.replace("peers = 127.0.0.1:3", &format!("peers = 127.0.0.1:3{line}"));
+    assert_eq!(Settings::parse(&changed).unwrap().forward_address, expected.parse().unwrap());
+}
+
+#[test_case("peers = 127.0.0.1:65535"; "no port after peers")]
+#[test_case("peers = 127.0.0.1:3\nforwards = here"; "no address")]
+fn invalid_forward_address(lines: &str) {
+    let faults = Settings::parse(&VALID.replace("peers = 127.0.0.1:3", lines)).unwrap_err();
+    assert!(faults.iter().any(|fault| fault.to_string().contains("forwards")), "{faults:?}");
+}
