--- a/crates/serving/tests/forwarding.rs
+++ b/crates/serving/tests/forwarding.rs
@@ -6,10 +6,12 @@
 use bytes::Bytes;
 use coltsfootpick_core::path_health::PathState;
 use coltsfootpick_core::refusal::{Code, Refusal, RunStatus};
+use coltsfootpick_core::routes::{AccountSpec, CallerLimits, RepeatPolicy, RouteTable};
 use coltsfootpick_serving::forward_link::framed;
 use coltsfootpick_serving::outcome::{RequestOutcome, ResponseBody};
+use coltsfootpick_serving::request::CallerRequest;
 use coltsfootpick_testkit::keyed_store::KeyedStore;
-use coltsfootpick_testkit::request_harness::{PREPAID, RequestHarness, request, route_table, server_entry};
+use coltsfootpick_testkit::request_harness::{PREPAID, RequestHarness, request, route, route_table, server_entry};
 use coltsfootpick_testkit::scripted_server::{
     Script, ScriptedServer, ServerAction, chunk, chunked_head, event, response,
 };
@@ -232,3 +234,33 @@
     assert_eq!(refusal_of(cut.handler.serve(request("apply")).await).run, RunStatus::NotRun);
     assert_eq!(cut.handler.board.paths.of(&"service".into()).state(), PathState::Lost);
 }
+
+/// Bodies up to the limit pass the hop whole, and answers without a length end with their connection.
+#[tokio::test]
+async fn long_bodies() {
+    let length = 300_000;
+    let answer = ServerAction::Write(format!("HTTP/1.1 200 X\r\nx-id: $ID\r\n\r\n{}", "b".repeat(length)));
+    let (cut, _peer, server) = start_pair(vec![vec![answer, ServerAction::Close]]).await;
+    let body = Bytes::from(vec![b'a'; 1 << 20]);
+    let outcome = cut.handler.serve(CallerRequest { body: body.clone(), ..request("apply") }).await;
+    let RequestOutcome::Relayed(_, ResponseBody::Buffered(answered)) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((answered.len(), answered.iter().all(|byte| *byte == b'b')), (length, true));
+    let received = server.recorded().requests.remove(0);
+    assert_eq!(received.split_once("\r\n\r\n").map(|(_, body)| body.len()), Some(body.len()));
+    let longer = CallerRequest { body: vec![b'a'; (1 << 20) + 1].into(), ..request("apply") };
+    assert_eq!(refusal_of(cut.handler.serve(longer).await).run, RunStatus::MayHaveRun, "closed without an answer");
+    assert_eq!(server.recorded().requests.len(), 1);
+}
+
+/// A key that the peer's newer document no longer has is refused there.
+#[tokio::test]
+async fn revoked_key() {
+    let (cut, peer, server) = start_pair(vec![vec![response(200, "", "done")]]).await;
+    let mut table = RouteTable::new(2, CallerLimits { body_bytes: 1 << 20, idle_timeout: Duration::from_secs(15) });
+    table.add_route(route("apply", RepeatPolicy::AtMostOnce, false, 1));
+    table.add_account(AccountSpec { name: "other".into(), rank: None, prepaid: None }, ["other-key".into()]);
+    peer.handler.board.install_routes(table);
+    let refusal = refusal_of(cut.handler.serve(request("apply")).await);
+    assert_eq!((refusal.code, refusal.run), (Code::Unauthorized, RunStatus::NotRun));
+    assert!(server.recorded().requests.is_empty());
+}
--- a/crates/serving/tests/lost_paths.rs
+++ b/crates/serving/tests/lost_paths.rs
@@ -187,3 +187,21 @@
     assert_eq!(board.quarantine.lock().reports_since(0, 8, board.clock.now()).0.len(), 1);
     assert_eq!(state(&harness), PathState::Sound);
 }
+
+/// A path that is lost and back again and again costs nobody a request that no server has had.
+#[tokio::test(flavor = "multi_thread")]
+async fn flapping_path() {
+    let fleet = TestFleet::start(false).await;
+    first_tries(&fleet.cut, "apply", Duration::from_millis(500)).await;
+    let load = first_tries(&fleet.cut, "apply", Duration::from_secs(6));
+    let flaps = async {
+        for _ in 0..6 {
+            fleet.cut(Cut::RefuseNew);
+            tokio::time::sleep(Duration::from_millis(600)).await;
+            fleet.links.iter().for_each(TcpRelay::heal);
+            tokio::time::sleep(Duration::from_millis(400)).await;
+        }
+    };
+    let ((sent, served), ()) = tokio::join!(load, flaps);
+    assert!(served * 20 >= sent * 19, "{served} of {sent} served");
+}
