Count no unanswered connection against the path while servers are heard

Cause: an instance without processor time finds its own connections timing out and took that for the loss of its links; one refused connection on return lost the path again. Change: a connection without an answer counts only after 200 ms without a word from any server; a returning path is lost at the second refusal; a request that waits for a connection is forwarded as soon as the path is lost.

--- a/crates/core/src/path_health.rs
+++ b/crates/core/src/path_health.rs
@@ -81,6 +81,8 @@
     open: u32,
     /// Since when requests are open and no server has sent anything.
     quiet_since: Option<Instant>,
+    /// Last sign of life of any server.
+    heard_at: Instant,
     /// Longest recent silence that ended with an answer.
     usual_quiet: Duration,
     /// Servers that could not be connected to since the last success.
@@ -95,6 +97,7 @@
             since: now,
             open: 0,
             quiet_since: None,
+            heard_at: Instant(Duration::ZERO),
             usual_quiet: Duration::ZERO,
             failed: BTreeMap::new(),
         }
@@ -144,6 +147,7 @@
     /// Records that a server sent something. Only a new connection ends the loss of the path.
     pub fn note_heard(&mut self, now: Instant) -> Option<PathChange> {
         let quiet = self.quiet(now);
+        self.heard_at = now;
         self.usual_quiet = quiet.max(self.usual_quiet.mul_f64(QUIET_DECAY));
         self.quiet_since = (self.open > 0).then_some(now);
         let is_cleared = self.state == PathState::Suspect && self.failed.is_empty();
@@ -153,6 +157,7 @@
     /// Records a connection to a server.
     pub fn note_connected(&mut self, now: Instant) -> Option<PathChange> {
         self.failed.clear();
+        self.heard_at = now;
         self.usual_quiet = self.quiet(now).max(self.usual_quiet);
         self.quiet_since = (self.open > 0).then_some(now);
         match self.state {
@@ -163,6 +168,9 @@
     }
 
     /// Records that `server`, one of `total` that take work, could not be connected to.
+    ///
+    /// A connection that gets no answer while servers are heard tells of a full server, or of an instance that is itself too
+    /// slow, and does not count.
     pub fn note_failed(
         &mut self,
         server: &BackendServerName,
@@ -170,11 +178,16 @@
         total: usize,
         now: Instant,
     ) -> Option<PathChange> {
+        if failure == ConnectFailure::Silent && now.since(self.heard_at) < QUIET_MIN {
+            return None;
+        }
         self.failed.insert(server.clone(), failure);
         let failed = self.failed.len();
         match self.state {
-            PathState::Lost => None,
-            PathState::Returning => Some(self.enter(PathState::Lost, now)),
+            PathState::Returning if failure == ConnectFailure::Silent || failed >= REFUSALS_MIN => {
+                Some(self.enter(PathState::Lost, now))
+            }
+            PathState::Lost | PathState::Returning => None,
             _ if failed >= FAILED_SERVERS_MIN.min(total.max(1)) => Some(self.enter(PathState::Lost, now)),
             PathState::Sound if failure == ConnectFailure::Silent || failed >= REFUSALS_MIN => {
                 Some(self.enter(PathState::Suspect, now))
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -292,7 +292,12 @@
     let spec = table.as_ref().and_then(|table| table.service(&server.entry.service));
     let fleet_limit = spec.map_or(usize::MAX, |spec| spec.connections as usize);
     let limit = (fleet_limit / board.fleet_size()).max(1);
-    match tokio::time::timeout_at(deadline, server.pool.connect(limit)).await {
+    let connecting = tokio::time::timeout_at(deadline, server.pool.connect(limit));
+    let connected = tokio::select! {
+        connected = connecting => connected,
+        () = path.lost_silently() => return Err(DispatchError::NotSent("the path is lost".to_owned())),
+    };
+    match connected {
         Ok(Ok(lease)) => {
             path.note_connected();
             server.set_unreached(false);
