Review: one malformed size ends the process of an instance

Cause: Generation::bound adds the two numbers of Token-Usage unchecked, and releases abort on overflow.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! run. With `TROUBLE=0` the disruption is left out.
 
 mod case_budget;
+mod case_crash;
 mod case_order;
 mod client;
 mod fleet;
@@ -37,6 +38,7 @@
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "budget" => case_budget::play(&record, has_trouble),
         "versions" => case_order::play_versions(&record, &trouble),
+        "size" => case_crash::play_size(&record, has_trouble),
         _ => Verdict::Unusable(format!("unknown case {case:?}")),
     });
     let verdict = played.unwrap_or_else(|_| Verdict::Unusable("a stand-in failed".to_owned()));
