--- a/review/standin/case_budget.rs
+++ b/review/standin/case_budget.rs
@@ -5,7 +5,6 @@
 use crate::Verdict;
 use crate::client::Request;
 use crate::record::Record;
-use crate::runner::Framing;
 use crate::world::World;
 
 /// What the tenant has paid for.
@@ -28,7 +27,7 @@
 }
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
-    let Some(mut world) = World::start(6, &BOTH, Framing::Chunked, record) else {
+    let Some(mut world) = World::start(6, &BOTH, record) else {
         return Verdict::Unusable("the instances did not become ready".to_owned());
     };
     // Connections of one client go to one instance.
--- a/review/standin/case_crash.rs
+++ b/review/standin/case_crash.rs
@@ -7,7 +7,6 @@
 use crate::client::Request;
 use crate::http::Conn;
 use crate::record::Record;
-use crate::runner::Framing;
 use crate::world::World;
 
 const TENANTS: [(&str, u64); 2] = [("clinic", 500_000), ("registry", 5_000_000)];
@@ -34,7 +33,7 @@
 
 /// Plays the case; `act` sends what ends the process.
 fn play(record: &Record, act: impl Fn(&World)) -> Verdict {
-    let Some(mut world) = World::start(6, &TENANTS, Framing::Chunked, record) else {
+    let Some(mut world) = World::start(6, &TENANTS, record) else {
         return Verdict::Unusable("the instances did not become ready".to_owned());
     };
     let waiting: Vec<_> = (0..OPEN).filter_map(|at| keep_open(&world, at)).collect();
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -5,7 +5,7 @@
 
 use crate::fleet::{Fleet, ZONES};
 use crate::record::Record;
-use crate::runner::{Framing, Runner, Seen, Spec};
+use crate::runner::{Runner, Seen, Spec};
 use crate::store::Store;
 
 pub struct World {
@@ -45,7 +45,7 @@
 
 impl World {
     /// Starts everything; `None` if the instances do not become ready.
-    pub fn start(size: usize, tenants: Tenants<'_>, framing: Framing, record: &Record) -> Option<Self> {
+    pub fn start(size: usize, tenants: Tenants<'_>, record: &Record) -> Option<Self> {
         let (store, seen) = (Store::default(), Arc::new(Seen::default()));
         store.put("keyed.op", "config", &config(1, tenants));
         let mut runners = Vec::new();
@@ -54,7 +54,7 @@
                 let zone = ZONES[at % ZONES.len()];
                 // Names differ in length, and with them the events that name their runner.
                 let name = format!("i-{prefix}{}", "7".repeat(at + 1));
-                let spec = Spec { name: &name, service, version: "v1", zone, framing };
+                let spec = Spec { name: &name, service, version: "v1", zone };
                 runners.push(Runner::start(&spec, &store, &seen, record));
             }
         }
