Review: less waiting in the case of two versions

Cause: the time from the cut to the clients' return came near the two seconds that the fault lasts, for a slower machine.

--- a/review/standin/case_order.rs
+++ b/review/standin/case_order.rs
@@ -86,7 +86,7 @@
         record.note(&format!("{} is cut off from the store", world.fleet.edges[1].name));
         world.fleet.edges[1].gate.set_cut(true);
     }
-    std::thread::sleep(Duration::from_millis(100));
+    std::thread::sleep(Duration::from_millis(20));
     let mut added = Vec::new();
     for (name, zone) in [("i-n0", "tunis-a"), ("i-n1", "sfax-a"), ("i-n2", "sousse-a"), ("i-n3", "tunis-a")] {
         let spec = Spec { name, service: "model-pool", version: "v2", zone };
@@ -97,9 +97,9 @@
         record.note(&format!("runner={} of version v1 reports draining", runner.name));
         runner.drain(&world.store);
     }
-    std::thread::sleep(Duration::from_millis(600));
+    std::thread::sleep(Duration::from_millis(550));
     let threads: Vec<_> = (0..STREAMS).map(|at| std::thread::spawn(follow(&world, at))).collect();
-    std::thread::sleep(Duration::from_millis(500));
+    std::thread::sleep(Duration::from_millis(400));
     if trouble != "0" {
         world.fleet.edges[0].kill();
     }
