Review: a drill in which all instances die overspends most of an account

Cause: what a holder may raise within the age of an older copy of the store is bounded by the prepaid amount alone, so the doubt that the copy leaves covers a small part of what was used since.

--- a/review/4/run.sh
+++ b/review/5/run.sh
@@ -7,4 +7,4 @@
     echo "not run: the programs are not built"
     exit 2
 fi
-exec review/bin/standin idle "$here/record.txt"
+exec review/bin/standin versions "$here/record.txt"
--- a/review/standin/case_crash.rs
+++ b/review/standin/case_crash.rs
@@ -73,17 +73,3 @@
         request.exchange(edge.front, &edge.name, &world.record);
     })
 }
-
-/// A runner states an idle time that reaches beyond the clock.
-pub fn play_idle(record: &Record, has_trouble: bool) -> Verdict {
-    play(record, |world| {
-        let value = if has_trouble { "timeout=18446744073709551615" } else { "timeout=15" };
-        for runner in world.runners.iter().filter(|runner| runner.service == "migrate-api") {
-            *runner.keep_alive.lock().unwrap() = Some(value.to_owned());
-        }
-        world.record.note(&format!("the runners' next answers carry Keep-Alive: {value}"));
-        let request = Request::new("spoiled", "/read/w5", "registry").deadline(2_000);
-        let edge = &world.fleet.edges[0];
-        request.exchange(edge.front, &edge.name, &world.record);
-    })
-}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -31,10 +31,6 @@
     pub fn status(&self) -> u16 {
         self.start.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
     }
-
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
 }
 
 impl Conn {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 
 mod case_budget;
 mod case_crash;
+mod case_drill;
 mod case_order;
 mod client;
 mod fleet;
@@ -37,9 +38,9 @@
     record.note(&format!("case={case} trouble={has_trouble}"));
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "budget" => case_budget::play(&record, has_trouble),
-        "versions" => case_order::play_versions(&record, &trouble),
+        "drill" => case_drill::play(&record, &trouble),
         "size" => case_crash::play_size(&record, has_trouble),
-        "idle" => case_crash::play_idle(&record, has_trouble),
+        "versions" => case_order::play_versions(&record, &trouble),
         _ => Verdict::Unusable(format!("unknown case {case:?}")),
     });
     let verdict = played.unwrap_or_else(|_| Verdict::Unusable("a stand-in failed".to_owned()));
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -4,7 +4,7 @@
 //! with 20 ms between them.
 
 use std::collections::{HashMap, HashSet};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -38,12 +38,8 @@
     born: u64,
     pub seen: Arc<Seen>,
     record: Record,
-    alive: AtomicBool,
     draining: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
     seq: AtomicU64,
-    /// Value of the `Keep-Alive` header of the next answer, if it has one.
-    pub keep_alive: Mutex<Option<String>>,
 }
 
 /// Names what a runner is.
@@ -68,30 +64,21 @@
             born: since_epoch.as_millis() as u64,
             seen: Arc::clone(seen),
             record: record.clone(),
-            alive: AtomicBool::new(true),
             draining: AtomicBool::new(false),
-            open: Mutex::default(),
             seq: AtomicU64::new(0),
-            keep_alive: Mutex::default(),
         });
         let (server, beating, store) = (Arc::clone(&runner), Arc::clone(&runner), store.clone());
         std::thread::spawn(move || server.accept(&listener));
         beating.beat(&store);
         std::thread::spawn(move || {
-            while beating.is_alive() {
+            loop {
                 std::thread::sleep(HEARTBEAT);
-                if beating.is_alive() {
-                    beating.beat(&store);
-                }
+                beating.beat(&store);
             }
         });
         runner
     }
 
-    fn is_alive(&self) -> bool {
-        self.alive.load(Ordering::SeqCst)
-    }
-
     fn beat(&self, store: &Store) {
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let entry = format!(
@@ -112,24 +99,8 @@
         self.beat(store);
     }
 
-    /// Ends the runner as a crash does: every connection breaks off and no new one is taken.
-    pub fn crash(&self) {
-        self.record.note(&format!("runner={} crashes", self.name));
-        self.alive.store(false, Ordering::SeqCst);
-        let _ = TcpStream::connect(self.address);
-        for stream in self.open.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        }
-    }
-
     fn accept(self: Arc<Self>, listener: &TcpListener) {
         for stream in listener.incoming().flatten() {
-            if !self.is_alive() {
-                return;
-            }
-            if let Ok(copy) = stream.try_clone() {
-                self.open.lock().unwrap().push(copy);
-            }
             let runner = Arc::clone(&self);
             std::thread::spawn(move || runner.serve(Conn::new(stream)));
         }
@@ -137,7 +108,7 @@
 
     fn serve(&self, mut conn: Conn) {
         while let Some(request) = conn.read_request() {
-            if !self.is_alive() || !self.handle(&request, &mut conn) {
+            if !self.handle(&request, &mut conn) {
                 let _ = conn.stream.shutdown(std::net::Shutdown::Both);
                 return;
             }
@@ -162,8 +133,6 @@
         }
         let work = target.rsplit('/').next().unwrap_or_default();
         let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal-{}-{id}\r\n", self.name);
-        let keep_alive = self.keep_alive.lock().unwrap().take();
-        let head = keep_alive.map_or(head.clone(), |value| format!("{head}Keep-Alive: {value}\r\n"));
         match work.strip_prefix('n').and_then(|rest| rest.split_once('g')) {
             Some((events, gap)) => {
                 let count = events.parse().unwrap_or(1);
@@ -172,7 +141,7 @@
             None => {
                 std::thread::sleep(Duration::from_millis(work[1..].parse().unwrap_or(0)));
                 let body = format!("answer of {} to {id}\n", self.name).repeat(20);
-                self.is_alive() && conn.write(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())
+                conn.write(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())
             }
         }
     }
@@ -193,7 +162,7 @@
             std::thread::sleep(Duration::from_millis(gap));
             let text = self.event(id, number);
             let piece = format!("{:x}\r\n{text}\r\n", text.len());
-            if !self.is_alive() || !conn.write(piece.as_bytes()) {
+            if !conn.write(piece.as_bytes()) {
                 self.record.note(&format!("runner={} stops id={id} before event={number}", self.name));
                 return false;
             }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -19,10 +19,22 @@
 #[derive(Default)]
 struct Topics {
     records: HashMap<String, Vec<Record>>,
+    /// When each record was written.
+    written: HashMap<String, Vec<Instant>>,
+    /// Number of times that the store came back from an older copy.
+    era: u64,
     /// Last five appends by topic and producer.
     appends: HashMap<(String, String), Vec<Append>>,
 }
 
+impl Topics {
+    fn push(&mut self, topic: &str, records: Vec<Record>) {
+        let written = self.written.entry(topic.to_owned()).or_default();
+        written.extend(records.iter().map(|_| Instant::now()));
+        self.records.entry(topic.to_owned()).or_default().extend(records);
+    }
+}
+
 /// The store; clones share its content.
 #[derive(Clone, Default)]
 pub struct Store {
@@ -52,7 +64,25 @@
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let (topics, changed) = &*self.topics;
         let record = (key.as_bytes().to_vec(), value.as_bytes().to_vec());
-        topics.lock().unwrap().records.entry(topic.to_owned()).or_default().push(record);
+        topics.lock().unwrap().push(topic, vec![record]);
+        changed.notify_all();
+    }
+
+    /// Comes back from a copy that is `age` old. What the operator and the runners have written since is written again.
+    pub fn restore(&self, age: Duration) {
+        let (topics, changed) = &*self.topics;
+        let mut topics = topics.lock().unwrap();
+        let names: Vec<String> = topics.records.keys().cloned().collect();
+        for name in names {
+            let kept = topics.written[&name].iter().filter(|at| at.elapsed() >= age).count();
+            let lost = topics.records.get_mut(&name).map(|records| records.split_off(kept)).unwrap_or_default();
+            topics.written.get_mut(&name).into_iter().for_each(|written| written.truncate(kept));
+            if name == "keyed.op" || name == "keyed.servers" {
+                topics.push(&name, lost);
+            }
+        }
+        topics.appends.clear();
+        topics.era += 1;
         changed.notify_all();
     }
 
@@ -76,7 +106,8 @@
             std::thread::sleep(ANSWER_TIME);
             let (status, body) = self.answer(&request, gate);
             gate.pass();
-            let head = format!("HTTP/1.1 {status}\r\nStore-Era: 0\r\nContent-Length: {}\r\n\r\n", body.len());
+            let era = self.topics.0.lock().unwrap().era;
+            let head = format!("HTTP/1.1 {status}\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n", body.len());
             if !conn.write(&[head.as_bytes(), &body].concat()) {
                 return;
             }
@@ -119,8 +150,8 @@
                 _ => {}
             }
         }
-        let records = topics.records.entry(topic.to_owned()).or_default();
-        let first = records.len();
+        let first = topics.records.get(topic).map_or(0, Vec::len);
+        let mut records = Vec::new();
         while body.len() > 4 {
             let (length, rest) = body.split_at(4);
             let length = u32::from_be_bytes(length.try_into().expect("four bytes")) as usize;
@@ -129,7 +160,8 @@
             records.push((key.to_vec(), value.to_vec()));
             body = rest;
         }
-        let response = format!(r#"{{"offset":{first},"end-offset":{}}}"#, records.len());
+        let response = format!(r#"{{"offset":{first},"end-offset":{}}}"#, first + records.len());
+        topics.push(topic, records);
         if let Some((epoch, seq)) = sequence {
             let known = topics.appends.entry(producer).or_default();
             known.push((epoch, seq, response.clone()));
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -52,8 +52,7 @@
         for (service, prefix, count) in [("model-pool", "m", 9), ("migrate-api", "a", 3)] {
             for at in 0..count {
                 let zone = ZONES[at % ZONES.len()];
-                // Names differ in length, and with them the events that name their runner.
-                let name = format!("i-{prefix}{}", "7".repeat(at + 1));
+                let name = format!("i-{prefix}{at}");
                 let spec = Spec { name: &name, service, version: "v1", zone };
                 runners.push(Runner::start(&spec, &store, &seen, record));
             }
