--- a/crates/serving/src/stream_continuation.rs
+++ b/crates/serving/src/stream_continuation.rs
@@ -40,7 +40,11 @@
         let found = self.streams.continuation(key, service).await;
         let (id, first, last_event) =
             (&request.id, excerpt(first_attempt.as_deref().unwrap_or_default()), excerpt(last_event));
-        log_event!(LogEvent::StreamTakenUp, "request={id} stream={first:?} last={last_event:?} found=\"{found}\"");
+        let silence_ms = self.board.store_silence().as_millis();
+        log_event!(
+            LogEvent::StreamTakenUp,
+            "request={id} stream={first:?} last={last_event:?} found=\"{found}\" silence_ms={silence_ms}"
+        );
         Metrics::count(&self.board.metrics.streams_taken_up, found.name());
         let lost = |reason: &str| Refusal::not_run(Code::StreamLost, format!("stream={first:?} {reason}"));
         match found {
