Take a stream up only where the store proves which version began it

Cause: the list of servers counted as complete for 2 s after the last answer of the store to any call, so an instance that had missed a newly listed version took its own for the only one. Class: the absence of news taken for knowledge. Two more faults on the same path: a version that was listed and left between two samples was never counted, and the verdict "any server" named no version, so one that was listed before the dispatch could be chosen.

Change: a stream that the instance does not know costs one read of the entries after those applied, asked for after the caller came and shared by all that wait. The verdict names the version and binds the stream to it. Entries count as they are read. A gap in what was followed counts like a start. No message or record changes. Failed reads are shared: a wave at a silent store waits for one of them, not for one after the other.

`single_version_in_outage` demanded that a stream goes on within an outage that has just begun. That is the fault: within any positive time a server may be listed. It now demands a refusal at once, at silences of 0, 100 and 2,500 ms, and that the stream goes on after it.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -52,6 +52,8 @@
     Quarantined,
     /// No server of the software version that began the stream can continue it, or that version is not known.
     StreamLost,
+    /// This instance cannot tell at present which software version began the stream.
+    StreamUnproven,
     /// The instance is stopping.
     Draining,
     /// The body exceeds the size limit.
@@ -96,7 +98,7 @@
 
 impl Code {
     /// Every code.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::UnknownService,
@@ -112,6 +114,7 @@
         Self::BackendFailed,
         Self::Quarantined,
         Self::StreamLost,
+        Self::StreamUnproven,
         Self::Draining,
         Self::TooLarge,
         Self::TooSlow,
@@ -141,6 +144,7 @@
             | Self::LogUnavailable
             | Self::NoBackendServer
             | Self::StreamLost
+            | Self::StreamUnproven
             | Self::Draining => 503,
         }
     }
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -70,12 +70,15 @@
     /// At servers of its origin, which this instance has known for this long.
     #[display("version={:?} age_ms={}", &*_0.version, _1.as_millis())]
     At(StreamOrigin, Duration),
-    /// At any server, since all that served lately have the same version.
-    #[display("one-version")]
-    Anywhere,
+    /// At servers of this origin, the only one of its service that has served lately.
+    #[display("one-version={:?}", &*_0.version)]
+    Single(StreamOrigin),
     /// Nowhere, since its origin is not known.
     #[display("unknown")]
     Unknown,
+    /// Nowhere at this instance, which cannot ask the store at present.
+    #[display("unproven")]
+    Unproven,
 }
 
 impl Continuation {
@@ -83,8 +86,9 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::At(..) => "known",
-            Self::Anywhere => "one-version",
+            Self::Single(_) => "one-version",
             Self::Unknown => "unknown",
+            Self::Unproven => "unproven",
         }
     }
 }
@@ -150,7 +154,8 @@
 
     /// Where the stream `key` may go on; `service` is the one that it would go to.
     ///
-    /// `knows_servers` tells whether this instance knows all servers that have served within [`ORIGIN_TTL`].
+    /// `knows_servers` tells whether this instance knows all servers that have served within [`ORIGIN_TTL`], up to a moment
+    /// after the caller came. The stream then began at a known version, whichever instance began it.
     pub fn continuation(
         &self,
         key: Option<StreamKey>,
@@ -160,11 +165,22 @@
     ) -> Continuation {
         match key.and_then(|key| self.streams.get(&key)) {
             Some(known) => Continuation::At(known.origin.clone(), now.since(known.at)),
-            None if knows_servers && !self.is_mixed(service, now) => Continuation::Anywhere,
+            None if knows_servers => self.single(service, now).map_or(Continuation::Unknown, Continuation::Single),
             None => Continuation::Unknown,
         }
     }
 
+    /// Only origin of `service` that has served within [`ORIGIN_TTL`], if there is just one.
+    fn single(&self, service: &ServiceName, now: Instant) -> Option<StreamOrigin> {
+        let mut recent = self.recent(service, now);
+        recent.next().filter(|_| recent.next().is_none()).cloned()
+    }
+
+    fn recent<'a>(&'a self, service: &'a ServiceName, now: Instant) -> impl Iterator<Item = &'a StreamOrigin> {
+        let recent = self.served.iter().filter(move |(_, at)| now.since(**at) < ORIGIN_TTL);
+        recent.map(|(origin, _)| origin).filter(move |origin| origin.service == *service)
+    }
+
     /// Whether another run has told which versions of `service` served within [`ORIGIN_TTL`].
     ///
     /// That no record names a second version proves nothing unless there is one that names the first.
@@ -184,8 +200,7 @@
 
     /// Whether servers of several versions have served within [`ORIGIN_TTL`].
     pub fn is_mixed(&self, service: &ServiceName, now: Instant) -> bool {
-        let recent = self.served.iter().filter(|(_, at)| now.since(**at) < ORIGIN_TTL);
-        recent.filter(|(origin, _)| origin.service == *service).count() > 1
+        self.recent(service, now).count() > 1
     }
 
     /// Whether anything has changed since the last call that another instance may need.
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -47,7 +47,7 @@
 ///
 /// Offsets go back then and are given out again, so an offset means something only within its era. See
 /// `docs/PLATFORM.md#eras`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LogPosition {
     /// Number of times that the store came back from an older copy.
     pub era: u64,
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -57,13 +57,13 @@
     origins.note_servers([origin("v2")], at(19));
     assert_eq!(found(&origins, "a", 19), Continuation::Unknown);
     origins.note_servers([origin("v2")], at(20));
-    assert_eq!(found(&origins, "a", 20), Continuation::Anywhere);
+    assert_eq!(found(&origins, "a", 20), Continuation::Single(origin("v2")));
 }
 
 #[test]
 fn unknown_servers() {
     let origins = serving(&["v1"]);
-    assert_eq!(found(&origins, "a", 0), Continuation::Anywhere);
+    assert_eq!(found(&origins, "a", 0), Continuation::Single(origin("v1")));
     assert_eq!(origins.continuation(Some(key("a")), &service(), false, at(0)), Continuation::Unknown);
 }
 
@@ -190,12 +190,13 @@
                 continue;
             }
             match found {
-                Continuation::Anywhere => {
+                Continuation::Single(found) => {
                     continued += 1;
                     assert_eq!(after, [version], "{order:?} down={down} lost={lost}");
+                    assert_eq!(found, origin(version), "{order:?}");
                 }
                 Continuation::At(known, _) => assert_eq!(known, origin(version), "{order:?}"),
-                Continuation::Unknown => {}
+                Continuation::Unknown | Continuation::Unproven => {}
             }
         }
     }
--- a/crates/serving/src/forward_server.rs
+++ b/crates/serving/src/forward_server.rs
@@ -197,7 +197,8 @@
         let (head, body) = match outcome {
             RequestOutcome::Relayed(head, body) => (head, body),
             RequestOutcome::Refused(refusal) => {
-                let elsewhere = refusal.code == Code::Draining || self.has_lost_paths(&refusal);
+                let is_own_state = matches!(refusal.code, Code::Draining | Code::StreamUnproven);
+                let elsewhere = is_own_state || self.has_lost_paths(&refusal);
                 return send(frames, refused(&refusal, elsewhere)).await;
             }
         };
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -144,6 +144,11 @@
         self.links.lock().insert(Arc::clone(peer), Arc::new(LinkPool::new(address)));
     }
 
+    /// Whether any other instance is known.
+    pub fn has_peers(&self) -> bool {
+        !self.links.lock().is_empty()
+    }
+
     /// Whether callers have seen the effect of a newer document than this instance has.
     pub fn is_behind(&self) -> bool {
         self.board.document_version() < self.newest_document.load(Ordering::Relaxed)
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -64,6 +64,8 @@
     pub records: Vec<KeyedRecord>,
     /// Position after the last record.
     pub next: LogPosition,
+    /// End of the topic when the records were read.
+    pub end: LogPosition,
 }
 
 /// Error of a call to the store.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod peer_client;
 pub mod peer_list;
 pub mod peer_server;
+pub mod server_list;
+pub mod shared_read;
 pub mod stream_registry;
 
 pub mod document_controller;
--- a/crates/serving/src/request_admission.rs
+++ b/crates/serving/src/request_admission.rs
@@ -6,7 +6,7 @@
 use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::refusal::{Code, Refusal};
 use coltsfootpick_core::routes::{AccountSpec, Route, RouteTable};
-use coltsfootpick_core::stream_origins::StreamKey;
+use coltsfootpick_core::stream_origins::{StreamKey, StreamOrigin};
 use coltsfootpick_core::units::Tokens;
 use tokio::time::Instant;
 
@@ -73,14 +73,20 @@
     }
 
     /// Reserves credit for a request, unless it or a part of its prompt is known to crash servers.
-    pub async fn admit(&self, request: CallerRequest, matched: MatchedRoute) -> Result<AdmittedRequest, Refusal> {
+    ///
+    /// A stream that the caller takes up goes on at its `origin`.
+    pub async fn admit(
+        &self,
+        request: CallerRequest,
+        matched: MatchedRoute,
+        origin: Option<StreamOrigin>,
+    ) -> Result<AdmittedRequest, Refusal> {
         let MatchedRoute { table, route, account, service, first_attempt, deadline } = matched;
         let fingerprint =
             crash_detection::fingerprint(&request, account.as_ref().map(|account| &account.name), &service);
         crash_detection::check_quarantine(&self.board, fingerprint)?;
         let payer = name_of(account.as_deref());
         let stream = StreamKey::of(&payer, &first_attempt);
-        let origin = self.find_origin(&request, &route, &service, stream).await?;
         let service = origin.as_ref().map_or(service, |origin| origin.service.clone());
         let trial = crash_detection::check_parts(&self.board, request.generation.as_ref(), &payer, &service)?;
         let reservation = self.reserve(&request, account.as_deref(), deadline).await?;
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -29,6 +29,7 @@
 use crate::outcome::RequestOutcome;
 use crate::relay;
 use crate::request::CallerRequest;
+use crate::request_admission::MatchedRoute;
 use crate::servers::Server;
 use crate::stream_registry::StreamRegistry;
 
@@ -99,12 +100,17 @@
             Err(refusal) => return open_request.refuse(refusal),
         };
         if !self.uses_own_path(&matched.service).await {
-            let (service, deadline) = (matched.service.clone(), matched.deadline);
-            let repeats = repeats_of(&matched.route, 1);
-            let forwarded = ForwardedRequest { request, service, deadline, dispatches: 0, repeats };
-            return self.forwarder.forward(forwarded, open_request).await;
+            return self.forward_unsent(request, &matched, open_request).await;
         }
-        let mut admitted = match self.admit(request, matched).await {
+        let origin = match self.find_origin(&request, &matched).await {
+            Ok(origin) => origin,
+            // A peer that the store answers can prove what this instance cannot.
+            Err(Refusal { code: Code::StreamUnproven, .. }) if self.forwarder.has_peers() => {
+                return self.forward_unsent(request, &matched, open_request).await;
+            }
+            Err(refusal) => return open_request.refuse(refusal),
+        };
+        let mut admitted = match self.admit(request, matched, origin).await {
             Ok(admitted) => admitted,
             Err(refusal) => return open_request.refuse(refusal),
         };
@@ -126,11 +132,24 @@
         }
     }
 
+    /// Has another instance serve a request that this one has sent to no server.
+    async fn forward_unsent(
+        &self,
+        request: CallerRequest,
+        matched: &MatchedRoute,
+        open_request: OpenRequest,
+    ) -> RequestOutcome {
+        let (service, deadline) = (matched.service.clone(), matched.deadline);
+        let repeats = repeats_of(&matched.route, 1);
+        let forwarded = ForwardedRequest { request, service, deadline, dispatches: 0, repeats };
+        self.forwarder.forward(forwarded, open_request).await
+    }
+
     /// Serves a request that another instance forwards, after `dispatches` runs that it may have had there.
     pub async fn serve_forwarded(&self, request: CallerRequest, dispatches: u32) -> RequestOutcome {
         let open_request = OpenRequest::new(&self.board, &request.id, request.arrived);
         let admitted = match self.match_route(&request) {
-            Ok(matched) => self.admit(request, matched).await,
+            Ok(matched) => self.admit_forwarded(request, matched).await,
             Err(refusal) => Err(refusal),
         };
         let mut admitted = match admitted {
@@ -145,6 +164,11 @@
         }
     }
 
+    async fn admit_forwarded(&self, request: CallerRequest, matched: MatchedRoute) -> Result<AdmittedRequest, Refusal> {
+        let origin = self.find_origin(&request, &matched).await?;
+        self.admit(request, matched, origin).await
+    }
+
     /// Whether a request uses this instance's own path to the servers of `service`; waits while the path is suspected.
     async fn uses_own_path(&self, service: &ServiceName) -> bool {
         let path = self.board.paths.of(service);
--- a/crates/serving/src/server_controller.rs
+++ b/crates/serving/src/server_controller.rs
@@ -6,15 +6,19 @@
 //!
 //! When the store comes back from an older copy, an entry that the table no longer has may be one of a server that
 //! left. It counts once it is written again, as live servers do within a heartbeat.
+//!
+//! The controller also records up to which position it has read the list, and since when no entry can have been missed.
+//! See `docs/ROUTING.md#versions`.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootpick_core::names::{BackendServerName, ServiceName};
+use coltsfootpick_core::units::LogPosition;
 use tokio::time::Instant;
 
-use crate::blackboard::Blackboard;
+use crate::blackboard::{Blackboard, ListProgress};
 use crate::interfaces::{KeyedRecord, RecordDecoder};
 use crate::log_event;
 use crate::log_events::LogEvent;
@@ -41,12 +45,22 @@
     is_restored: bool,
     /// Whether entries may be missing because the store lost them, which affects any number of servers.
     has_lost_entries: bool,
+    /// Instant since which every entry was read, or will have been written again after the store lost some.
+    complete_since: Option<Instant>,
 }
 
 impl ServerController {
     /// Creates a controller that writes the server table of `board`.
     pub const fn new(board: Arc<Blackboard>, decoder: Arc<dyn RecordDecoder>) -> Self {
-        Self { board, decoder, grace_until: None, lapsed: BTreeMap::new(), is_restored: false, has_lost_entries: false }
+        Self {
+            board,
+            decoder,
+            grace_until: None,
+            lapsed: BTreeMap::new(),
+            is_restored: false,
+            has_lost_entries: false,
+            complete_since: None,
+        }
     }
 
     fn decode(&self, record: &KeyedRecord) -> Option<ServerEntry> {
@@ -68,12 +82,15 @@
     fn apply_entry(&mut self, entry: ServerEntry) {
         self.lapsed.remove(&entry.name);
         let (name, service, address) = (entry.name.clone(), entry.service.clone(), entry.address);
+        let origin = entry.origin();
         let event = match self.board.servers.put(entry) {
             EntryChange::Same => return,
             EntryChange::Listed => LogEvent::ServerListed,
             EntryChange::Replaced => LogEvent::ServerReplaced,
             EntryChange::Leaving => LogEvent::ServerLeaving,
         };
+        // The server may have left again before the table is looked at.
+        self.board.stream_origins.lock().note_servers([origin], self.board.clock.now());
         log_event!(event, "server={name} service={service} address={address}");
     }
 
@@ -133,6 +150,8 @@
                 self.handle_missing(name);
             }
         }
+        let now = Instant::now();
+        self.complete_since = Some(if is_restored { now + RESTORED_GRACE } else { now });
         self.board.mark_servers_listed();
     }
 
@@ -147,6 +166,12 @@
         }
     }
 
+    fn note_read(&mut self, next: LogPosition) {
+        if let Some(complete_since) = self.complete_since {
+            self.board.note_list_read(ListProgress { position: next, complete_since });
+        }
+    }
+
     fn note_recovery(&mut self, _outage: Duration) {
         self.grace_until = Some(Instant::now() + REGISTRATION_GRACE);
     }
--- a/crates/serving/src/stream_registry.rs
+++ b/crates/serving/src/stream_registry.rs
@@ -5,7 +5,6 @@
 //! each. The records are read when a caller takes up a stream that this instance does not know.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use coltsfootpick_core::ceilings::instance_of;
@@ -14,14 +13,17 @@
     Continuation, ORIGIN_TTL, OriginReport, REPORT_INTERVAL, REPORT_TTL, StreamKey, StreamOrigin,
 };
 use coltsfootpick_wire::stream_origins::StreamRecordMessage;
+use parking_lot::Mutex;
 use prost::Message;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::blackboard::Blackboard;
-use crate::interfaces::{KeyedLog, KeyedRecord, Topic};
+use crate::interfaces::{KeyedLog, KeyedRecord, RecordDecoder, Topic};
 use crate::log_event;
 use crate::log_events::LogEvent;
+use crate::server_list::ServerList;
+use crate::shared_read::{Freshness, SharedRead};
 use crate::topic_reader::read_newest;
 
 /// Shortest interval between two records.
@@ -42,23 +44,12 @@
 /// Bytes a second that all instances together read of the records at most, a quarter of what the store delivers.
 const READ_BYTES_PER_SECOND: f64 = 20e6;
 
-/// Time since the last answer of the store up to which the list of servers counts as complete.
-const LIST_AGE_MAX: Duration = Duration::from_secs(2);
-
 /// Instances that report the versions in service also when nothing changes.
 const REPORTERS: u32 = 6;
 
 /// Key of the order in which instances report.
 const REPORTERS_KEY: u64 = 0x7665_7273_696f_6e73;
 
-/// Read of all records.
-#[derive(Clone, Copy, Debug)]
-struct LastRead {
-    began: Instant,
-    /// When the records may be read again.
-    next: Instant,
-}
-
 /// Registry of the streams that are or were open at any instance.
 #[derive(Debug)]
 pub struct StreamRegistry {
@@ -67,24 +58,38 @@
     /// Key of the own record, which names this run.
     run: Arc<str>,
     started: Instant,
-    /// Whether the records were read, which tell of versions that have left before this run started.
-    has_read: AtomicBool,
-    /// Last successful read of the records, which requests share that wait for one.
-    last_read: tokio::sync::Mutex<Option<LastRead>>,
+    servers: ServerList,
+    /// When the last successful read of the records began.
+    read_at: Mutex<Option<Instant>>,
+    reads: SharedRead,
 }
 
 impl StreamRegistry {
     /// Creates the registry of the run `run`, which has the form `INSTANCE/RUN`.
-    pub fn new(board: Arc<Blackboard>, store: Arc<dyn KeyedLog>, run: Arc<str>) -> Arc<Self> {
-        let (started, has_read, last_read) = (Instant::now(), AtomicBool::default(), tokio::sync::Mutex::default());
-        Arc::new(Self { board, store, run, started, has_read, last_read })
+    pub fn new(
+        board: Arc<Blackboard>,
+        store: Arc<dyn KeyedLog>,
+        decoder: Arc<dyn RecordDecoder>,
+        run: Arc<str>,
+    ) -> Arc<Self> {
+        let servers = ServerList::new(Arc::clone(&board), Arc::clone(&store), decoder);
+        let (started, read_at, reads) = (Instant::now(), Mutex::default(), SharedRead::default());
+        Arc::new(Self { board, store, run, started, servers, read_at, reads })
     }
 
-    /// Where a stream may go on that a caller takes up; reads the records of the others if this instance cannot tell, and
-    /// once more after they had time to write.
+    /// Where a stream may go on that a caller takes up.
+    ///
+    /// Reads the newest server entries unless several versions are known to serve. If this instance still cannot tell, reads
+    /// the records of the others, and once more after they had time to write.
     pub async fn continuation(&self, key: Option<StreamKey>, service: &ServiceName) -> Continuation {
-        let is_list_current = self.board.store_silence() < LIST_AGE_MAX;
-        let mut found = self.known(key, service, is_list_current && self.knows_past(service));
+        let mut found = self.known(key, service, true);
+        let is_list_read = matches!(found, Continuation::Single(_));
+        if is_list_read {
+            if !self.servers.read_versions().await {
+                return Continuation::Unproven;
+            }
+            found = self.known(key, service, self.knows_past(service));
+        }
         // The record of a stream that has just begun is written within one interval.
         for wait in [Duration::ZERO, self.write_interval() + APPEND_TIME] {
             if found != Continuation::Unknown {
@@ -92,9 +97,9 @@
             }
             tokio::time::sleep(wait).await;
             if !self.refresh().await {
-                break;
+                return Continuation::Unproven;
             }
-            found = self.known(key, service, self.knows_past(service));
+            found = self.known(key, service, is_list_read && self.knows_past(service));
             if key.is_none() {
                 break;
             }
@@ -102,14 +107,25 @@
         found
     }
 
+    /// Waits until the server table holds all servers that the store lists now; false if that takes too long.
+    pub async fn catch_up(&self) -> bool {
+        self.servers.catch_up().await
+    }
+
     /// Whether this instance knows all versions of `service` that have served within [`ORIGIN_TTL`]: it has seen them itself,
     /// or another run has told it.
     fn knows_past(&self, service: &ServiceName) -> bool {
+        let Some(since) = self.servers.complete_since() else { return false };
         let is_told = || {
             let now = self.board.clock.now();
-            self.has_read.load(Ordering::Relaxed) && self.board.stream_origins.lock().is_attested(service, now)
+            self.has_read_since(since) && self.board.stream_origins.lock().is_attested(service, now)
         };
-        self.started.elapsed() >= ORIGIN_TTL || is_told()
+        since.elapsed() >= ORIGIN_TTL || is_told()
+    }
+
+    /// Whether the records were read after `since`; they tell of versions that have left before.
+    fn has_read_since(&self, since: Instant) -> bool {
+        self.read_at.lock().is_some_and(|at| at >= since)
     }
 
     fn known(&self, key: Option<StreamKey>, service: &ServiceName, knows_servers: bool) -> Continuation {
@@ -121,23 +137,21 @@
 
     /// Reads the records of all runs, unless that has just been done; returns whether it succeeded.
     async fn refresh(&self) -> bool {
-        let asked = Instant::now();
-        let mut last_read = self.last_read.lock().await;
-        if last_read.is_some_and(|read| read.began >= asked || read.next > Instant::now()) {
-            return true;
-        }
+        self.reads.get(Freshness::LastAllowed, READ_TIMEOUT, || self.read_records()).await
+    }
+
+    /// Reads the records of all other runs; returns the pause before the next read.
+    async fn read_records(&self) -> Option<Duration> {
         let began = Instant::now();
-        let read = tokio::time::timeout(READ_TIMEOUT, read_newest(&*self.store, Topic::Streams)).await;
-        let Ok(Ok((records, _))) = read else { return false };
+        let (records, _) = read_newest(&*self.store, Topic::Streams).await.ok()?;
         let bytes: usize = records.iter().filter_map(|record| Some(record.value.as_ref()?.len())).sum();
-        *last_read = Some(LastRead { began, next: began + self.read_pause(bytes) });
         for record in records.into_iter().filter(|record| record.key != self.run) {
             if let Some((reports, age)) = self.decode(&record) {
                 self.board.stream_origins.lock().merge(reports, age, self.board.clock.now());
             }
         }
-        self.has_read.store(true, Ordering::Relaxed);
-        true
+        *self.read_at.lock() = Some(began);
+        Some(self.read_pause(bytes))
     }
 
     /// Pause after a read of `bytes`, so that unknown streams, which a caller may name at will, do not take the store's
@@ -167,7 +181,7 @@
         let mut written_at: Option<Instant> = None;
         let mut has_cleaned = false;
         while tokio::time::timeout(self.write_interval(), stop.cancelled()).await.is_err() {
-            if !self.has_read.load(Ordering::Relaxed) {
+            if self.servers.complete_since().is_some_and(|since| !self.has_read_since(since)) {
                 self.refresh().await;
             }
             let now = self.board.clock.now();
--- a/crates/serving/src/topic_reader.rs
+++ b/crates/serving/src/topic_reader.rs
@@ -29,6 +29,9 @@
     /// Called when the store came back from an older copy; the next call is [`Self::replace_all`] with its records.
     fn note_restored(&mut self);
 
+    /// Called after each read whose records were passed on, with the position after them.
+    fn note_read(&mut self, _next: LogPosition) {}
+
     /// Called after every read, to do what is due by time alone.
     fn tick(&mut self);
 }
@@ -109,7 +112,9 @@
                 pause = RETRY_MIN;
                 next = Some(fetched.end);
                 let is_empty = fetched.records.is_empty();
+                let end = fetched.end;
                 deliver(fetched, &mut sink);
+                sink.note_read(end);
                 if !is_empty {
                     tokio::time::sleep(policy.batch_pause).await;
                 }
--- a/crates/serving/tests/resumed_streams.rs
+++ b/crates/serving/tests/resumed_streams.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootpick_core::names::ServiceName;
 use coltsfootpick_core::refusal::{Refusal, RunStatus};
+use coltsfootpick_core::stream_origins::{Continuation, StreamKey};
 use coltsfootpick_serving::outcome::{RequestOutcome, ResponseBody};
 use coltsfootpick_serving::request::{CallerRequest, ResumedStream};
 use coltsfootpick_serving::servers::ServerEntry;
 use coltsfootpick_testkit::keyed_store::{KeyedStore, StoreFault};
-use coltsfootpick_testkit::request_harness::{RequestHarness, request, server_entry};
+use coltsfootpick_testkit::request_harness::{ACCOUNT, RequestHarness, request, server_entry};
 use coltsfootpick_testkit::scripted_server::{ScriptedServer, ServerAction, chunk, chunked_head, event};
 use futures_util::StreamExt;
 use test_case::test_case;
@@ -200,11 +202,13 @@
     assert!(refusal.detail.len() < 256, "{} bytes", refusal.detail.len());
 }
 
-/// An instance that has just started can tell at once that all servers have one version, also while the store is away.
-#[test_case(Duration::from_millis(100), true; "outage just begun")]
-#[test_case(Duration::from_millis(2_500), false; "list of servers too old")]
+/// While the store is away nobody can tell whether a server of another version was listed meanwhile, however short the outage:
+/// a stream that this instance does not know is refused at once, to return.
+#[test_case(Duration::from_millis(0); "outage just begun")]
+#[test_case(Duration::from_millis(100); "short outage")]
+#[test_case(Duration::from_millis(2_500); "long outage")]
 #[tokio::test]
-async fn single_version_in_outage(silence: Duration, goes_on: bool) {
+async fn single_version_in_outage(silence: Duration) {
     let server = whole_server().await;
     let store = KeyedStore::default();
     let other = start("edge-b", &store).await;
@@ -216,11 +220,37 @@
     store.set_fault(StoreFault::Silent);
     tokio::time::sleep(silence).await;
     let asked = tokio::time::Instant::now();
-    let answer = read(harness.handler.serve(take_up(Some("elsewhere"))).await).await;
-    assert_eq!(answer.is_ok(), goes_on, "{answer:?}");
-    let is_returning = |refusal: Refusal| refusal.run == RunStatus::NotRun && refusal.retry_after.is_some();
-    assert!(answer.map_or_else(is_returning, |_| true));
+    let refusal = read(harness.handler.serve(take_up(Some("elsewhere"))).await).await.unwrap_err();
+    assert_eq!((refusal.run, refusal.retry_after.is_some()), (RunStatus::NotRun, true), "{refusal}");
     assert!(asked.elapsed() < Duration::from_millis(600), "decided after {:?}", asked.elapsed());
+    assert_eq!(arrivals(&server), 0);
+    store.set_fault(StoreFault::None);
+    tokio::time::sleep(TOLD).await;
+    let answer = read(harness.handler.serve(take_up(Some("elsewhere"))).await).await;
+    assert_eq!(answer.unwrap(), (events(4..=6), true), "the stream goes on once the store is back");
+}
+
+/// Callers that come back all at once share the reads which prove that one version serves; new streams need none.
+#[tokio::test]
+async fn wave_of_returns() {
+    let store = KeyedStore::default();
+    let (other, harness) = (start("edge-b", &store).await, start("edge-a", &store).await);
+    let server = whole_server().await;
+    list(&other, "a", &server, "v1");
+    list(&harness, "a", &server, "v1");
+    tokio::time::sleep(TOLD).await;
+    let key = |attempt: i32| StreamKey::of(&ACCOUNT.into(), &attempt.to_string());
+    let before = store.call_count();
+    let asked = tokio::time::Instant::now();
+    let streams = &harness.handler.streams;
+    let service = ServiceName::from("service");
+    let found =
+        futures_util::future::join_all((0..500).map(|attempt| streams.continuation(Some(key(attempt)), &service)))
+            .await;
+    assert!(found.iter().all(|found| matches!(found, Continuation::Single(_))));
+    let calls = store.call_count() - before;
+    assert!(calls < 20, "{calls} calls to the store for 500 streams");
+    assert!(asked.elapsed() < Duration::from_millis(100), "decided after {:?}", asked.elapsed());
 }
 
 /// Unknown streams, which a caller may name at will, cost few reads.
--- a/crates/testkit/src/keyed_store.rs
+++ b/crates/testkit/src/keyed_store.rs
@@ -75,6 +75,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct KeyedStore {
     state: Arc<Mutex<State>>,
+    /// Fault of this path to the store, besides that of the store itself.
+    path_fault: Arc<Mutex<StoreFault>>,
     appended: Arc<Notify>,
 }
 
@@ -95,6 +97,24 @@
         self.state.lock().fault = fault;
     }
 
+    /// Another path to the same records, which faults of its own may affect.
+    #[must_use]
+    pub fn other_path(&self) -> Self {
+        Self { path_fault: Arc::default(), ..self.clone() }
+    }
+
+    /// Sets the fault of the calls by this path alone; it does not apply to writes that are answered late.
+    pub fn set_path_fault(&self, fault: StoreFault) {
+        *self.path_fault.lock() = fault;
+    }
+
+    /// Position after the newest record of a topic.
+    pub fn end(&self, topic: Topic) -> LogPosition {
+        let state = self.state.lock();
+        let length = state.topics.get(name(topic)).map_or(0, |log| log.records.len());
+        LogPosition::new(state.era, Offset(length as u64))
+    }
+
     /// Number of calls so far.
     pub fn call_count(&self) -> usize {
         self.state.lock().calls
@@ -196,6 +216,8 @@
             state.calls += 1;
             state.fault
         };
+        let path_fault = *self.path_fault.lock();
+        let fault = if path_fault == StoreFault::None { fault } else { path_fault };
         match fault {
             StoreFault::None | StoreFault::ResponseLost | StoreFault::Delayed => Ok(()),
             StoreFault::Busy => Err(StoreError::Unavailable("busy".to_owned())),
@@ -235,7 +257,7 @@
                     return Err(StoreError::Trimmed);
                 }
                 let next = LogPosition::new(era, Offset(records.len() as u64));
-                Ok(RecordBatch { records: records.into_iter().skip(from).collect(), next })
+                Ok(RecordBatch { records: records.into_iter().skip(from).collect(), next, end: next })
             };
             let appended = self.appended.notified();
             let batch = read_now()?;
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -12,14 +12,14 @@
     BackendProtocol, CallerProtocol, DecodeError, DispatchContext, KeyedRecord, RecordDecoder, ResponseKind,
     ServerNotice,
 };
-use coltsfootpick_serving::request::CallerRequest;
+use coltsfootpick_serving::request::{CallerRequest, ResumedStream};
 use coltsfootpick_serving::servers::ServerEntry;
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use tokio::time::Instant;
 
-/// Callers' requests are forwarded with `x-id`, `x-key`, `x-left` and `x-size`.
+/// Callers' requests are forwarded with `x-id`, `x-key`, `x-left`, `x-size`, `x-last` and `x-first`.
 ///
 /// Sends the headers `x-id`, `x-server`, `x-left`, `x-account` and `x-resumes`. The header `x-not-run` of a response
 /// says that the request did not run, `x-leaving` that the server leaves, `x-pause` how many seconds it wants nothing, `x-limit` how
@@ -86,6 +86,10 @@
         if let Some(Generation { prompt, output, .. }) = &request.generation {
             set("x-size", &format!("{prompt},{output}"));
         }
+        if let Some(ResumedStream { last_event, first_attempt }) = &request.resumed {
+            set("x-last", last_event);
+            set("x-first", first_attempt.as_deref().unwrap_or_default());
+        }
         fields
     }
 
@@ -106,7 +110,10 @@
                 output: tokens(output),
                 parts: Vec::new(),
             }),
-            resumed: None,
+            resumed: text("x-last").map(|last| ResumedStream {
+                last_event: last.into(),
+                first_attempt: text("x-first").filter(|first| !first.is_empty()).map(Into::into),
+            }),
             headers: HeaderMap::new(),
             body,
             arrived,
@@ -122,12 +129,14 @@
         Ok(Some(RouteTable::new(version, CallerLimits { body_bytes: 1 << 20, idle_timeout: Duration::from_secs(15) })))
     }
 
-    /// Decodes a server entry of the form `SERVICE ADDRESS STATE STARTED_AT`.
+    /// Decodes a server entry of the form `SERVICE ADDRESS STATE STARTED_AT` or `SERVICE ADDRESS STATE STARTED_AT VERSION`.
     fn server(&self, record: &KeyedRecord) -> Result<ServerEntry, DecodeError> {
         let text = record_text(record)?;
         let words: Vec<&str> = text.split(' ').collect();
-        let [service, address, state, started_at] = words[..] else {
-            return Err(DecodeError { reason: format!("entry {text:?}") });
+        let (service, address, state, started_at, version) = match words[..] {
+            [service, address, state, started_at] => (service, address, state, started_at, "v1"),
+            [service, address, state, started_at, version] => (service, address, state, started_at, version),
+            _ => return Err(DecodeError { reason: format!("entry {text:?}") }),
         };
         Ok(ServerEntry {
             name: (&*record.key).into(),
@@ -140,7 +149,7 @@
             leaving: state == "leaving",
             started_at: started_at.parse().ok(),
             weights: 0,
-            version: "v1".into(),
+            version: version.into(),
         })
     }
 }
--- a/crates/testkit/src/request_harness.rs
+++ b/crates/testkit/src/request_harness.rs
@@ -8,19 +8,21 @@
 use coltsfootpick_core::routes::{AccountSpec, CallerLimits, EngineSpec, RepeatPolicy, Route, RouteTable, ServiceSpec};
 use coltsfootpick_core::selection::Generation;
 use coltsfootpick_core::units::Tokens;
-use coltsfootpick_serving::blackboard::{Blackboard, InstanceSpec};
+use coltsfootpick_serving::blackboard::{Blackboard, InstanceSpec, ListProgress};
 use coltsfootpick_serving::counted_log::CountedLog;
 use coltsfootpick_serving::credit_controller::CreditController;
 use coltsfootpick_serving::forward_server::ForwardServer;
 use coltsfootpick_serving::forwarder::Forwarder;
-use coltsfootpick_serving::interfaces::KeyedLog;
+use coltsfootpick_serving::interfaces::{KeyedLog, Topic};
 use coltsfootpick_serving::observations;
 use coltsfootpick_serving::path_controller::PathController;
 use coltsfootpick_serving::request::CallerRequest;
 use coltsfootpick_serving::request_handler::RequestHandler;
 use coltsfootpick_serving::retry_share::RetryLimit;
+use coltsfootpick_serving::server_controller::ServerController;
 use coltsfootpick_serving::servers::ServerEntry;
 use coltsfootpick_serving::stream_registry::StreamRegistry;
+use coltsfootpick_serving::topic_reader::{PollPolicy, follow};
 use http::Method;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
@@ -93,6 +95,7 @@
             board.servers.put(server_entry(&letter.to_string(), *address));
         }
         board.mark_servers_listed();
+        board.note_list_read(ListProgress { position: store.end(Topic::Servers), complete_since: Instant::now() });
         board.mark_fleet_listed();
         let holder: Arc<str> = format!("{name}/{:x}", rand::random::<u32>()).into();
         let policy = CeilingPolicy::default();
@@ -103,7 +106,8 @@
         tokio::spawn(Arc::clone(&controller).settle_loans(stop.clone()));
         observations::start(&board, &(Arc::new(store.clone()) as Arc<dyn KeyedLog>), &stop);
         let shared: Arc<dyn KeyedLog> = Arc::new(CountedLog::new(store.clone(), Arc::clone(&board)));
-        let streams = StreamRegistry::new(Arc::clone(&board), shared, Arc::clone(controller.holder()));
+        let streams =
+            StreamRegistry::new(Arc::clone(&board), shared, Arc::new(PlainProtocol), Arc::clone(controller.holder()));
         tokio::spawn(Arc::clone(&streams).run(stop.clone()));
         let protocol = Arc::new(PlainProtocol);
         let forwarder = Forwarder::new(Arc::clone(&board), Arc::<PlainProtocol>::clone(&protocol));
@@ -126,6 +130,16 @@
         self.handler.forwarder.add(&name.into(), &test_location().zone, address);
     }
 
+    /// Starts to follow the list of backend servers in `store`, until the token is cancelled.
+    pub fn follow_servers(&self, store: &KeyedStore) -> CancellationToken {
+        let stop = self.stop.child_token();
+        let counted = CountedLog::new(store.clone(), Arc::clone(&self.handler.board));
+        let servers = ServerController::new(Arc::clone(&self.handler.board), Arc::new(PlainProtocol));
+        let policy = PollPolicy { max_wait: Duration::from_millis(500), batch_pause: Duration::from_millis(50) };
+        tokio::spawn(follow(Arc::new(counted), Topic::Servers, policy, servers, stop.clone()));
+        stop
+    }
+
     /// Waits until the instance has credit for the account.
     ///
     /// # Panics
