Keep the use of accounts that the document leaves out

Cause: a record replaces the one before it, and its ceilings were filled from the accounts of the document in force only. The first record under a document without the account forgot its settled use; after the death of its writer nobody knew of it. Class: what is not in the present view counts as never having been. The same held for accounts whose amount a document takes away, for settlements of loans that arrive while the account is out, and for records that an older copy loses.

Change: a record holds the use of every account that its run has served, with a ceiling of what is used and in flight, so the rest comes back at once. What was written together is written again together after an older copy.

--- a/crates/core/src/account_credit.rs
+++ b/crates/core/src/account_credit.rs
@@ -83,6 +83,16 @@
         (self.used + self.reserved + self.lent).saturating_sub(self.borrowed)
     }
 
+    /// Ceiling that leaves no headroom.
+    pub(crate) fn final_ceiling(&self) -> AccountCeiling {
+        AccountCeiling { ceiling: self.committed(), settled: self.used, ..AccountCeiling::default() }
+    }
+
+    /// Whether no request and no loan can change the use any more.
+    pub(crate) fn is_settled(&self) -> bool {
+        (self.reserved + self.borrowed + self.lent + self.waiting).is_zero()
+    }
+
     /// Tokens that can be reserved when no record was written for `isolation`.
     pub(crate) fn headroom(&self, isolation: Duration) -> Tokens {
         let reserve = usable_reserve(self.limit.reserve, self.limit.reserve_rate, isolation);
--- a/crates/core/src/holder_credit.rs
+++ b/crates/core/src/holder_credit.rs
@@ -39,6 +39,9 @@
 /// A ceiling is lowered once its headroom is above this many percent of the target.
 const LOWER_ABOVE_PERCENT: u64 = 200;
 
+/// Number of accounts in an archive.
+const ARCHIVE_SIZE: usize = 128;
+
 /// Account whose ceiling is planned.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedAccount<'a> {
@@ -81,6 +84,8 @@
 #[derive(Clone, Debug)]
 struct PendingRecord {
     record: HolderRecord,
+    /// Record that is written with it and holds what it no longer does, by its holder name.
+    archive: Option<(Arc<str>, HolderRecord)>,
     /// Time of the last write before this record.
     previous_write: Option<Instant>,
 }
@@ -172,6 +177,9 @@
 
     /// Plans the next record of the prepaid `accounts` and returns it when one is due or `force` is set.
     ///
+    /// What was used of other accounts stays on record: an account that a document leaves out may come back, and what it
+    /// paid for is counted from its first use.
+    ///
     /// Lowered ceilings are in force at once, raised ones once [`Self::apply_own`] finds that they fit. Reserves cannot
     /// be used from now on: the record may reach the log, and its timestamp shows that the holder is not isolated.
     /// Nothing is planned while a record is pending, since it is unknown which of two unread records would count.
@@ -217,33 +225,73 @@
             let must_lower = ceiling < credit.limit.ceiling && is_excessive;
             is_due |= must_raise || must_lower || credit.is_cut;
             let planned = AccountCeiling { ceiling, settled: credit.used, reserve, reserve_rate: target.reserve_rate };
-            if !planned.total().is_zero() || !planned.settled.is_zero() {
-                record.ceilings.insert(account.clone(), planned);
-            }
+            record.ceilings.insert(account.clone(), planned);
         }
+        let left_out = self.left_out(&record);
+        let has_unused = |(account, kept): (&ClientAccountName, &AccountCeiling)| {
+            self.accounts.get(account).is_some_and(|credit| credit.limit.total() > kept.total())
+        };
+        is_due |= left_out.iter().any(has_unused);
+        record.ceilings.extend(left_out.clone());
+        record.ceilings.retain(|_, planned| !planned.total().is_zero() || !planned.settled.is_zero());
         if !is_due {
             return None;
         }
+        let archive = self.archive(&mut record, &left_out);
         let previous_write = self.last_written.replace(now);
         self.planned = (number, era);
         self.is_covered = false;
-        self.pending = Some(PendingRecord { record: record.clone(), previous_write });
+        self.pending = Some(PendingRecord { record: record.clone(), archive, previous_write });
         self.update_limits();
         Some(record)
     }
 
+    /// What this holder's ceilings must cover of the accounts that were not planned in `record`.
+    fn left_out(&self, record: &HolderRecord) -> BTreeMap<ClientAccountName, AccountCeiling> {
+        let others = self.accounts.iter().filter(|(account, _)| !record.ceilings.contains_key(*account));
+        others.map(|(account, credit)| (account.clone(), credit.final_ceiling())).collect()
+    }
+
+    /// Moves the use of accounts that were left out to a record of its own once there are many, so that the records which
+    /// are written all the time stay small. It counts as one of a closed holder and never changes.
+    fn archive(
+        &self,
+        record: &mut HolderRecord,
+        left_out: &BTreeMap<ClientAccountName, AccountCeiling>,
+    ) -> Option<(Arc<str>, HolderRecord)> {
+        let is_settled =
+            |account: &ClientAccountName| self.accounts.get(account).is_some_and(AccountCredit::is_settled);
+        let kept = left_out.iter().filter(|(account, kept)| !kept.settled.is_zero() && is_settled(account));
+        let ceilings: BTreeMap<_, _> =
+            kept.map(|(account, kept)| (account.clone(), *kept)).take(ARCHIVE_SIZE).collect();
+        if ceilings.len() < ARCHIVE_SIZE {
+            return None;
+        }
+        record.ceilings.retain(|account, _| !ceilings.contains_key(account));
+        let HolderRecord { number, era, document, .. } = *record;
+        let archive = HolderRecord { ceilings, number, era, document, closed: true, ..HolderRecord::default() };
+        Some((format!("{}+{number}", self.holder).into(), archive))
+    }
+
+    /// Forgets the use that `archive` holds from now on.
+    fn forget_archived(&mut self, archive: &HolderRecord) {
+        for (account, archived) in &archive.ceilings {
+            let Some(credit) = self.accounts.get_mut(account) else { continue };
+            credit.used = credit.used.saturating_sub(archived.settled);
+            if credit.is_settled() && credit.used.is_zero() {
+                self.accounts.remove(account);
+            }
+        }
+    }
+
     /// Last record of a holder that shuts down; it lowers the ceilings to the tokens committed.
     pub fn close(&mut self, document: u64) -> HolderRecord {
-        let final_ceiling = |credit: &AccountCredit| AccountCeiling {
-            ceiling: credit.committed(),
-            settled: credit.used,
-            ..AccountCeiling::default()
-        };
-        let ceilings = self.accounts.iter().map(|(account, credit)| (account.clone(), final_ceiling(credit))).collect();
+        let ceilings =
+            self.accounts.iter().map(|(account, credit)| (account.clone(), credit.final_ceiling())).collect();
         self.planned.0 += 1;
         let (number, era) = self.planned;
         let record = HolderRecord { ceilings, number, era, document, closed: true, ..HolderRecord::default() };
-        self.pending = Some(PendingRecord { record: record.clone(), previous_write: self.last_written });
+        self.pending = Some(PendingRecord { record: record.clone(), archive: None, previous_write: self.last_written });
         self.update_limits();
         record
     }
@@ -303,7 +351,11 @@
                 cut.push(account.clone());
             }
         }
-        self.pending.take_if(|pending| pending.matches(record));
+        if let Some((_, archive)) =
+            self.pending.take_if(|pending| pending.matches(record)).and_then(|pending| pending.archive)
+        {
+            self.forget_archived(&archive);
+        }
         self.update_limits();
         cut
     }
@@ -336,9 +388,10 @@
         self.pending.is_some()
     }
 
-    /// Planned record that was not read back from the log yet.
-    pub fn pending_record(&self) -> Option<&HolderRecord> {
-        self.pending.as_ref().map(|pending| &pending.record)
+    /// Planned records that were not read back from the log yet, to be written together, by holder.
+    pub fn pending_records(&self) -> Vec<(Arc<str>, HolderRecord)> {
+        let Some(PendingRecord { record, archive, .. }) = &self.pending else { return Vec::new() };
+        archive.iter().cloned().chain([(Arc::clone(&self.holder), record.clone())]).collect()
     }
 
     /// Discards the pending record, which was not written and never will be.
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -1,7 +1,7 @@
 //! Credit under ceilings: no account is overspent, whatever the order of store outages, instance deaths, lost answers,
 //! loans and clock jumps.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use coltsfootpick_core::names::ClientAccountName;
 use coltsfootpick_core::units::{Instant, LogPosition, Offset, Tokens};
 use proptest::prelude::*;
+use test_case::test_case;
 
 const PREPAID: u64 = 1_000_000;
 const INSTANCES: usize = 4;
@@ -108,6 +109,8 @@
     runs_started: usize,
     prepaid: u64,
     version: u64,
+    /// Versions of the document that leave the account out.
+    without: BTreeSet<u64>,
     policy: CeilingPolicy,
 }
 
@@ -122,6 +125,7 @@
             runs_started: 0,
             prepaid: PREPAID,
             version: 1,
+            without: BTreeSet::new(),
             policy,
         };
         for index in 0..INSTANCES {
@@ -158,13 +162,14 @@
     /// Reads the log as the credit controller does: in order, or the newest records if earlier ones were dropped.
     fn read(&mut self, index: usize, newest_only: bool) {
         let (now, prepaid) = (self.now, Tokens(self.prepaid));
+        let prepaid = Some(prepaid).filter(|_| self.has_account(index));
         let Some(run) = self.runs[index].as_mut().filter(|run| !run.is_disconnected) else { return };
         let is_restored = run.table.next().era < self.log.era && run.table.next().offset > Offset(0);
         if is_restored {
             run.sequence = (run.sequence.0 + 1, 0);
-            let unread = run.credit.pending_record().cloned();
+            let unread = Some(run.credit.pending_records()).filter(|records| !records.is_empty());
             let repeated = run.unconfirmed.take().map(|write| write.records);
-            let records = repeated.or_else(|| unread.map(|record| vec![(Arc::clone(&run.name), record)]));
+            let records = repeated.or(unread);
             run.unconfirmed =
                 records.map(|records| Write { writer: Arc::clone(&run.name), sequence: run.sequence, records });
         }
@@ -177,7 +182,7 @@
             if name == run.name && newest_only {
                 run.credit.apply_newest(&record);
             } else if name == run.name {
-                run.credit.apply_own(&record, &run.table, run.document, |_| Some(prepaid));
+                run.credit.apply_own(&record, &run.table, run.document, |_| prepaid);
             }
             run.table.apply(&name, record, now);
         }
@@ -188,7 +193,7 @@
     fn write(&mut self, index: usize, lost: bool, late: bool) {
         let (now, timestamp) = (self.now, self.wall_clock(index, self.now));
         let clocks = self.clocks_at(index);
-        let (prepaid, policy) = (self.prepaid, self.policy);
+        let (prepaid, policy, has_account) = (self.prepaid, self.policy, self.has_account(index));
         let Some(run) = self.runs[index].as_mut().filter(|run| !run.is_disconnected) else { return };
         let own = instance_of(&run.name);
         let account = account();
@@ -201,7 +206,8 @@
             records.extend(run.table.unrepeated(&run.name));
             let live = run.table.live_count(&run.name, now, policy.silence) as u64 + 1;
             let role = if run.is_lender { CreditRole::Shared(live) } else { CreditRole::Borrower };
-            let next = run.credit.plan_record(&run.table, metadata, planned(&account, prepaid, role), now, true);
+            let accounts = planned(&account, prepaid, role).into_iter().filter(|_| has_account);
+            let next = run.credit.plan_record(&run.table, metadata, accounts, now, true);
             records.extend(next.map(|record| (Arc::clone(&run.name), record)));
             Write { writer: Arc::clone(&run.name), sequence: run.sequence, records }
         });
@@ -271,6 +277,19 @@
         }
     }
 
+    /// Whether the document in force at an instance has the account.
+    fn has_account(&self, index: usize) -> bool {
+        self.runs[index].as_ref().is_some_and(|run| !self.without.contains(&run.document))
+    }
+
+    /// Publishes a document with or without the account.
+    fn publish(&mut self, has_account: bool) {
+        self.version += 1;
+        if !has_account {
+            self.without.insert(self.version);
+        }
+    }
+
     /// Lets an instance read the document in force.
     fn read_document(&mut self, index: usize) {
         if let Some(run) = &mut self.runs[index] {
@@ -299,9 +318,9 @@
     }
 
     fn spend(&mut self, index: usize, bound: u64, used: u64) {
-        let (now, prepaid) = (self.now, Tokens(self.prepaid));
+        let (now, prepaid, has_account) = (self.now, Tokens(self.prepaid), self.has_account(index));
         let Some(run) = self.runs[index].as_mut() else { return };
-        if run.credit.reserve(&account(), Tokens(bound), prepaid, now) == HeadroomOutcome::Reserved {
+        if has_account && run.credit.reserve(&account(), Tokens(bound), prepaid, now) == HeadroomOutcome::Reserved {
             run.open.push(Tokens(bound));
         }
         if run.open.len() > 3 {
@@ -314,8 +333,8 @@
 
     /// Spends all tokens that an instance may use.
     fn drain(&mut self, index: usize) {
-        let (now, prepaid) = (self.now, Tokens(self.prepaid));
-        let Some(run) = self.runs[index].as_mut() else { return };
+        let (now, prepaid, has_account) = (self.now, Tokens(self.prepaid), self.has_account(index));
+        let Some(run) = self.runs[index].as_mut().filter(|_| has_account) else { return };
         for bound in [100_000, 20_000, 4_000, 500] {
             while run.credit.reserve(&account(), Tokens(bound), prepaid, now) == HeadroomOutcome::Reserved {
                 run.credit.settle(&account(), Tokens(bound), Tokens(bound), now);
@@ -337,7 +356,8 @@
 
     fn lend(&mut self, from: usize, to: usize, least: u64, is_lost: bool) {
         let (now, prepaid) = (self.now, Tokens(self.prepaid));
-        let Some(lender) = self.runs[from].as_mut().filter(|_| from != to) else { return };
+        let has_account = self.has_account(from);
+        let Some(lender) = self.runs[from].as_mut().filter(|_| from != to && has_account) else { return };
         let loan = lender.credit.lend(&account(), Tokens(least), Tokens(least * 3), prepaid, now);
         let name = Arc::clone(&lender.name);
         if let Some(borrower) = self.runs[to].as_mut().filter(|_| !is_lost) {
@@ -411,7 +431,8 @@
     ChangeRole(usize, bool),
     /// Instance and jump of its wall clock in milliseconds.
     JumpClock(usize, i64),
-    Publish,
+    /// Whether the next document has the account.
+    Publish(bool),
     ReadDocument(usize),
     /// Largest number of records that an older copy of the log lacks, and instances that restart meanwhile.
     RestoreCopy(usize, Vec<usize>),
@@ -439,7 +460,7 @@
         8 => (instance.clone(), instance.clone(), prop_oneof![4 => Just(Lost::Nothing), 1 => Just(Lost::Request), 1 => Just(Lost::Answer)])
             .prop_map(|(from, to, lost)| Step::SettleLoans(from, to, lost)),
         1 => (instance.clone(), any::<bool>()).prop_map(|(index, is_lender)| Step::ChangeRole(index, is_lender)),
-        1 => Just(Step::Publish),
+        2 => prop::bool::weighted(0.6).prop_map(Step::Publish),
         1 => (0_usize..30, prop::collection::vec(instance.clone(), 0..INSTANCES))
             .prop_map(|(count, restarted)| Step::RestoreCopy(count, restarted)),
         4 => instance.clone().prop_map(Step::ReadDocument),
@@ -477,7 +498,7 @@
             }
         }
         Step::RestoreCopy(count, restarted) => fleet.restore_copy(count, &restarted),
-        Step::Publish => fleet.version += 1,
+        Step::Publish(has_account) => fleet.publish(has_account),
         Step::ReadDocument(index) => fleet.read_document(index),
         Step::JumpClock(index, jump) => fleet.clock_errors[index] += jump,
     }
@@ -500,6 +521,16 @@
         (0..INSTANCES).for_each(|index| fleet.drain(index));
         let used = fleet.used();
         prop_assert!(used <= PREPAID, "{used} of {PREPAID} tokens are used at the end");
+        // The account comes back, if it is out, and new runs find what the others have left.
+        fleet.publish(true);
+        (0..INSTANCES).for_each(|index| fleet.start(index));
+        (0..INSTANCES).for_each(|index| fleet.read_document(index));
+        for _ in 0..4 {
+            (0..INSTANCES).for_each(|index| fleet.renew(index));
+            (0..INSTANCES).for_each(|index| fleet.drain(index));
+        }
+        let used = fleet.used();
+        prop_assert!(used <= PREPAID, "{used} of {PREPAID} tokens are used after the account came back");
     }
 }
 
@@ -709,6 +740,152 @@
     assert_eq!(credit.reserve(&account, Tokens(10), Tokens(1_000), now), HeadroomOutcome::NoHeadroom);
 }
 
+/// What happens while a document leaves the account out, after instance 0 has served it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WhileOut {
+    /// Instance 0 dies and starts again.
+    Restart,
+    /// All instances die and start again.
+    RestartAll,
+    /// The requests that were open end, then instance 0 dies.
+    SettledLate,
+    /// Instance 0 dies after the store came back from a copy that lacks all records without the account.
+    OlderCopy,
+    /// Instance 0 has lent to another instance, whose settlement arrives while the account is out.
+    LoanSettled,
+}
+
+/// Guards against review/1: the first record under a document without the account forgot what the account had used.
+#[test_case(WhileOut::Restart)]
+#[test_case(WhileOut::RestartAll)]
+#[test_case(WhileOut::SettledLate)]
+#[test_case(WhileOut::OlderCopy)]
+#[test_case(WhileOut::LoanSettled)]
+fn account_left_out(event: WhileOut) {
+    let mut fleet = Simulation::new(GREEDY);
+    (0..INSTANCES).for_each(|index| fleet.renew(index));
+    for _ in 0..6 {
+        fleet.spend(0, 40_000, 40_000);
+        fleet.renew(0);
+    }
+    if event == WhileOut::LoanSettled {
+        fleet.lend(0, 1, 60_000, false);
+        fleet.renew(0);
+        fleet.drain(1);
+    }
+    (0..20).for_each(|_| fleet.drain(0));
+    fleet.renew(0);
+    let written = fleet.log.records.len();
+    fleet.publish(false);
+    (0..INSTANCES).for_each(|index| fleet.read_document(index));
+    (0..INSTANCES).for_each(|index| fleet.renew(index));
+    match event {
+        WhileOut::Restart => {}
+        WhileOut::RestartAll => fleet.restart(&[1, 2, 3], 500),
+        WhileOut::SettledLate => {
+            let run = fleet.runs[0].as_mut().unwrap();
+            for bound in run.open.drain(..) {
+                run.credit.settle(&account(), bound, bound, fleet.now);
+                fleet.spent += bound.0;
+            }
+            fleet.renew(0);
+        }
+        WhileOut::OlderCopy => fleet.restore_copy(fleet.log.records.len() - written, &[]),
+        WhileOut::LoanSettled => {
+            fleet.settle_loans(1, 0, Lost::Nothing);
+            fleet.renew(0);
+        }
+    }
+    fleet.restart(&[0], 500);
+    (0..INSTANCES).for_each(|index| fleet.read_document(index));
+    (0..INSTANCES).for_each(|index| fleet.renew(index));
+    fleet.publish(true);
+    (0..INSTANCES).for_each(|index| fleet.read_document(index));
+    for _ in 0..20 {
+        (0..INSTANCES).for_each(|index| fleet.renew(index));
+        (0..INSTANCES).for_each(|index| fleet.drain(index));
+    }
+    assert!(fleet.used() <= PREPAID, "{} of {PREPAID} tokens are used", fleet.used());
+    assert!(fleet.used() * 10 > PREPAID * 8, "only {} of {PREPAID} tokens could be used", fleet.used());
+}
+
+/// Store with the newest record of each holder.
+type NewestRecords = BTreeMap<Arc<str>, HolderRecord>;
+
+/// Has the only holder of a fleet plan for `accounts` of 1,000 tokens each, and write and read its records.
+fn renew_accounts(
+    credit: &mut HolderCredit,
+    table: &mut CeilingTable,
+    log: &mut NewestRecords,
+    accounts: &[ClientAccountName],
+) {
+    let now = Instant(Duration::from_secs(100));
+    let plan = accounts.iter().map(|name| PlannedAccount { name, prepaid: Tokens(1_000), role: CreditRole::Shared(1) });
+    credit.plan_record(table, RecordMetadata::default(), plan, now, true).expect("a record is forced");
+    for (name, record) in credit.pending_records() {
+        if name == *credit.holder() {
+            credit.apply_own(&record, table, 0, |_| Some(Tokens(1_000)));
+        }
+        table.apply(&name, record.clone(), now);
+        log.insert(name, record);
+    }
+}
+
+/// Operators replace many accounts: the record that is written all the time stays small, nothing of the use is lost, and an
+/// account that comes back is charged for what it used before.
+#[test]
+fn many_left_out() {
+    let (count, now) = (1_000_usize, Instant(Duration::from_secs(100)));
+    let names: Vec<ClientAccountName> = (0..count).map(|at| format!("account-{at}").into()).collect();
+    let used = |at: usize| at as u64 % 200 + 1;
+    let (mut credit, mut table) = (HolderCredit::new("edge-0/1".into(), GREEDY), CeilingTable::default());
+    let mut log = NewestRecords::new();
+    renew_accounts(&mut credit, &mut table, &mut log, &names);
+    for (at, name) in names.iter().enumerate() {
+        assert_eq!(credit.reserve(name, Tokens(200), Tokens(1_000), now), HeadroomOutcome::Reserved);
+        credit.settle(name, Tokens(200), Tokens(used(at)), now);
+    }
+    (0..20).for_each(|_| renew_accounts(&mut credit, &mut table, &mut log, &[]));
+    let largest = log["edge-0/1"].ceilings.len();
+    assert!(largest * 4 < count, "{largest} of {count} accounts are written again and again");
+    let written = log.clone();
+    renew_accounts(&mut credit, &mut table, &mut log, &[]);
+    let changed = log.iter().filter(|(name, record)| written.get(*name) != Some(*record)).count();
+    assert_eq!(changed, 1, "records change though no account does");
+    for (at, name) in names.iter().enumerate() {
+        let entries = log.values().filter_map(|record| record.ceilings.get(name));
+        assert_eq!(entries.map(|entry| entry.settled.0).sum::<u64>(), used(at), "{name}");
+    }
+    // The accounts come back, at this run and at one that has read the log alone.
+    let (mut next, mut later) = (HolderCredit::new("edge-1/1".into(), GREEDY), CeilingTable::default());
+    for (name, record) in &log {
+        later.apply(name, record.clone(), now);
+    }
+    renew_accounts(&mut credit, &mut table, &mut log, &names);
+    renew_accounts(&mut next, &mut later, &mut log, &names);
+    for (at, name) in names.iter().enumerate() {
+        for credit in [&mut credit, &mut next] {
+            let more = credit.reserve(name, Tokens(1_001 - used(at)), Tokens(1_000), now);
+            assert_eq!(more, HeadroomOutcome::Exhausted, "{name}");
+        }
+    }
+}
+
+/// What the account did not use comes back while the document leaves it out, and nothing can be reserved.
+#[test]
+fn unused_returned() {
+    let mut fleet = running_fleet();
+    spend_all(&mut fleet, 0);
+    fleet.publish(false);
+    (0..INSTANCES).for_each(|index| fleet.read_document(index));
+    (0..INSTANCES).for_each(|index| fleet.renew(index));
+    let newest = fleet.log.newest();
+    let covered: u64 = newest.values().flat_map(|record| record.ceilings.values()).map(|entry| entry.total().0).sum();
+    assert_eq!(covered, fleet.used());
+    let run = fleet.runs[0].as_mut().unwrap();
+    assert_ne!(run.credit.reserve(&account(), Tokens(1), Tokens(PREPAID), fleet.now), HeadroomOutcome::Reserved);
+}
+
 #[test]
 fn lent_headroom() {
     let mut fleet = running_fleet();
--- a/crates/serving/src/credit_renewal.rs
+++ b/crates/serving/src/credit_renewal.rs
@@ -165,7 +165,7 @@
         }
         let mut records = self.close_earlier_runs();
         records.extend(self.lost_records());
-        records.extend(self.plan(is_first).map(|record| (Arc::clone(self.holder()), record)));
+        records.extend(self.plan(is_first));
         if records.is_empty() {
             return RenewalOutcome::Done;
         }
@@ -203,11 +203,11 @@
         suspects
     }
 
-    /// Plans the next record of this run; `None` if nothing needs to be written.
-    fn plan(&self, is_first: bool) -> Option<HolderRecord> {
+    /// Plans the next records of this run, none if nothing needs to be written.
+    fn plan(&self, is_first: bool) -> HolderRecords {
         let is_holder = self.holds_credit();
         if is_first && !is_holder {
-            return None;
+            return HolderRecords::new();
         }
         let (now, routes) = (self.board.clock.now(), self.board.routes());
         let version = routes.as_ref().map_or(0, |table| table.version());
@@ -217,7 +217,8 @@
         let (ceilings, mut credit) = (self.ceilings.lock(), self.credit.lock());
         let metadata = RecordMetadata { era: ceilings.next().era, document: version, timestamp, suspects };
         if is_first {
-            return credit.plan_record(&ceilings, metadata, [], now, true);
+            let planned = credit.plan_record(&ceilings, metadata, [], now, true);
+            return planned.map(|_| credit.pending_records()).unwrap_or_default();
         }
         let live = ceilings.live_count(self.holder(), now, self.policy.silence) as u64 + 1;
         let limited_accounts = routes.iter().flat_map(|table| table.accounts()).filter_map(|account| {
@@ -225,7 +226,8 @@
             account.prepaid.map(|prepaid| PlannedAccount { name: &account.name, prepaid, role })
         });
         let is_due = is_holder && credit.last_written().is_none_or(|at| now.since(at) >= write_interval);
-        credit.plan_record(&ceilings, metadata, limited_accounts, now, is_due)
+        let planned = credit.plan_record(&ceilings, metadata, limited_accounts, now, is_due);
+        planned.map(|_| credit.pending_records()).unwrap_or_default()
     }
 
     /// Reads and applies the records written since the last read, or all current ones if those were dropped.
@@ -261,11 +263,11 @@
     /// earlier writes that are still on their way. A record that was not read back is written again.
     fn note_restored(&self, next: LogPosition) {
         log_event!(LogEvent::StoreRestored, "topic=credit era={} end={}", next.era, next.offset);
-        let unread = self.credit.lock().pending_record().cloned();
+        let unread = self.credit.lock().pending_records();
         let mut pending = self.pending.lock();
         (pending.epoch, pending.number) = (pending.epoch + 1, 0);
         if pending.uncertain.is_none() {
-            pending.uncertain = unread.map(|record| vec![(Arc::clone(self.holder()), record)]);
+            pending.uncertain = Some(unread).filter(|records| !records.is_empty());
         }
     }
 
