--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -170,7 +170,7 @@
     #[must_use]
     pub fn to_closed(&self, age: Option<Duration>, era: u64) -> Self {
         let age = age.filter(|_| self.era == era);
-        let mut closed = Self { closed: true, number: self.number + 1, ..self.clone() };
+        let mut closed = Self { closed: true, number: self.number.saturating_add(1), ..self.clone() };
         for entry in closed.ceilings.values_mut() {
             entry.reserve = entry.reserve_in_doubt(age);
         }
--- a/crates/core/src/headroom.rs
+++ b/crates/core/src/headroom.rs
@@ -65,10 +65,11 @@
     /// This holder's share of the unused credit, by the use of all holders.
     fn share(&self) -> u128 {
         let unused = self.prepaid.saturating_sub(self.others.max_used + self.used);
-        let base = self.prepaid.0 / PERCENT * BASE_WEIGHT_PERCENT;
-        let weight = u128::from(self.committed.0 + base);
-        let weights = u128::from(self.others.live_use.0 + self.committed.0 + base * self.parts).max(1);
-        u128::from(unused.0) * weight / weights
+        let base = u128::from(self.prepaid.0 / PERCENT * BASE_WEIGHT_PERCENT);
+        let committed = u128::from(self.committed.0);
+        let weight = committed + base;
+        let weights = (u128::from(self.others.live_use.0) + committed + base * u128::from(self.parts)).max(1);
+        u128::from(unused.0).saturating_mul(weight) / weights
     }
 }
 
@@ -92,7 +93,9 @@
     #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52 tokens")]
     pub fn new(policy: &CeilingPolicy, input: &HeadroomInput) -> Self {
         let share = input.share();
-        let part = |percent: u64| u64::try_from(share * u128::from(percent) / u128::from(PERCENT)).unwrap_or(u64::MAX);
+        let part = |percent: u64| {
+            u64::try_from(share.saturating_mul(u128::from(percent)) / u128::from(PERCENT)).unwrap_or(u64::MAX)
+        };
         let (most_base, most) = (part(policy.base_percent), part(policy.share_percent));
         let rate = input.rate * SURGE;
         let base = most_base.min(((rate * BASE_WINDOW.as_secs_f64()) as u64).max(most_base / BASE_FLOOR_DIVISOR));
--- a/crates/core/src/holder_credit.rs
+++ b/crates/core/src/holder_credit.rs
@@ -220,8 +220,8 @@
             let headroom = credit.headroom(Duration::ZERO).0;
             let must_raise = ceiling > credit.limit.ceiling
                 && (headroom < base.0 / PERCENT * RAISE_BELOW_PERCENT || !credit.waiting.is_zero());
-            let is_excessive =
-                credit.limit.ceiling > most || headroom > base.0 / PERCENT * LOWER_ABOVE_PERCENT + PERCENT;
+            let excess = (base.0 / PERCENT).saturating_mul(LOWER_ABOVE_PERCENT).saturating_add(PERCENT);
+            let is_excessive = credit.limit.ceiling > most || headroom > excess;
             let must_lower = ceiling < credit.limit.ceiling && is_excessive;
             is_due |= must_raise || must_lower || credit.is_cut;
             let planned = AccountCeiling { ceiling, settled: credit.used, reserve, reserve_rate: target.reserve_rate };
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -2,28 +2,17 @@
 
 use std::time::Duration;
 
-use derive_more::{Add, AddAssign, Display, From, Sum};
+use std::iter::Sum;
+use std::ops::{Add, AddAssign};
+
+use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
 /// Number of tokens, the unit in which accounts prepay and requests are billed.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Add,
-    AddAssign,
-    Sum,
-    From,
-    Serialize,
-    Deserialize,
-)]
+///
+/// Sums stop at the largest number: what other writers and callers state must not end the process, and an amount beyond all
+/// prepaid ones is refused whatever its size.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, From, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Tokens(pub u64);
 
@@ -43,6 +32,26 @@
     }
 }
 
+impl Add for Tokens {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, rhs: Self) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sum for Tokens {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        iter.fold(Self::ZERO, Add::add)
+    }
+}
+
 /// Position in a topic of a store that may come back from an older copy.
 ///
 /// Offsets go back then and are given out again, so an offset means something only within its era. See
@@ -71,7 +80,7 @@
     /// Position after this one.
     #[must_use]
     pub const fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
--- a/crates/core/tests/ceilings.rs
+++ b/crates/core/tests/ceilings.rs
@@ -809,6 +809,56 @@
     assert!(fleet.used() * 10 > PREPAID * 8, "only {} of {PREPAID} tokens could be used", fleet.used());
 }
 
+/// Amounts and numbers as another writer may have written them.
+fn any_amount() -> impl Strategy<Value = u64> {
+    prop_oneof![Just(0), Just(1), 2_u64..1_000_000, Just(u64::MAX), Just(u64::MAX - 1), any::<u64>()]
+}
+
+fn any_record() -> impl Strategy<Value = HolderRecord> {
+    let ceiling = (any_amount(), any_amount(), any_amount(), any_amount());
+    (prop::option::of(ceiling), any_amount(), any_amount(), any_amount(), any::<bool>(), any_amount()).prop_map(
+        |(ceiling, number, era, document, closed, timestamp)| {
+            let ceiling = ceiling.map(|(ceiling, settled, reserve, rate)| AccountCeiling {
+                ceiling: Tokens(ceiling),
+                settled: Tokens(settled),
+                reserve: Tokens(reserve),
+                reserve_rate: Tokens(rate),
+            });
+            let ceilings = ceiling.map(|ceiling| (account(), ceiling)).into_iter().collect();
+            let witnesses = [(Arc::from("edge-1"), timestamp)].into();
+            HolderRecord { ceilings, number, era, document, closed, timestamp, witnesses, ..HolderRecord::default() }
+        },
+    )
+}
+
+proptest! {
+    /// No record of another writer ends the process, whatever numbers it holds.
+    #[test]
+    fn odd_records(records in prop::collection::vec((0..INSTANCES, any_record()), 1..8), amount in any_amount()) {
+        let now = Instant(Duration::from_secs(100));
+        let (mut table, account) = (CeilingTable::default(), account());
+        let mut credit = HolderCredit::new("edge-0/own".into(), CeilingPolicy::default());
+        for (index, record) in records {
+            let name: Arc<str> = if index == 0 { "edge-0/own".into() } else { format!("edge-{}/{index}", index % 2).into() };
+            if index == 0 {
+                credit.apply_own(&record, &table, record.document, |_| Some(Tokens(amount)));
+            }
+            table.apply(&name, record, now);
+            credit.reserve(&account, Tokens(amount), Tokens(PREPAID), now);
+            let plan = planned(&account, amount, CreditRole::Shared(INSTANCES as u64));
+            credit.plan_record(&table, RecordMetadata::default(), plan, now, true);
+            credit.settle(&account, Tokens(amount), Tokens(amount), now);
+            credit.count_waiting(&account, Tokens(amount), true);
+            table.headroom_by_holder("edge-0/own", &account);
+            for (_, dead) in table.predecessors("edge-0/own") {
+                let age = dead.max_age("edge-0", &clocks(&[("edge-0", amount), ("edge-1", 1), ("edge-2", 1)]));
+                prop_assert!(dead.to_closed(age, amount).closed);
+            }
+            table.unrepeated("edge-0/own").for_each(drop);
+        }
+    }
+}
+
 /// Store with the newest record of each holder.
 type NewestRecords = BTreeMap<Arc<str>, HolderRecord>;
 
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -1,6 +1,7 @@
 //! Blackboard of one instance: the state that its controllers write and request handling reads.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -23,6 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::buffered_body::BufferedTotal;
+use crate::interfaces::Topic;
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::metrics::Metrics;
@@ -381,6 +383,12 @@
         self.clock.now().since(*self.store_answered_at.lock())
     }
 
+    /// Logs and counts a record that could not be decoded; the others of its topic hold.
+    pub fn note_skipped(&self, topic: Topic, key: &str, reason: &dyn Display) {
+        Metrics::count(&self.metrics.records_skipped, &topic.to_string());
+        log_event!(LogEvent::RecordSkipped, "topic={topic} key={key:?} reason={reason}");
+    }
+
     /// Number of open requests.
     pub fn open_requests(&self) -> u64 {
         self.open_requests.load(Ordering::Relaxed)
--- a/crates/serving/src/credit_renewal.rs
+++ b/crates/serving/src/credit_renewal.rs
@@ -291,7 +291,7 @@
         let decoded = match HolderRecordMessage::decode(value) {
             Ok(message) => HolderRecord::from(message),
             Err(error) => {
-                log_event!(LogEvent::RecordSkipped, "topic=credit key={:?} reason={error}", record.key);
+                self.board.note_skipped(Topic::Credit, &record.key, &error);
                 return;
             }
         };
--- a/crates/serving/src/document_controller.rs
+++ b/crates/serving/src/document_controller.rs
@@ -6,7 +6,7 @@
 use coltsfootpick_core::routes::RouteTable;
 
 use crate::blackboard::Blackboard;
-use crate::interfaces::{KeyedRecord, RecordDecoder};
+use crate::interfaces::{KeyedRecord, RecordDecoder, Topic};
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::topic_reader::RecordSink;
@@ -41,7 +41,7 @@
                     "version={version} routes={routes} accounts={accounts} outcome={outcome}{changes}"
                 );
             }
-            Err(error) => log_event!(LogEvent::RecordSkipped, "topic=documents key={:?} reason={error}", record.key),
+            Err(error) => self.board.note_skipped(Topic::Documents, &record.key, &error),
         }
     }
 
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -26,6 +26,8 @@
     pub store_calls: Family<Label, Counter>,
     /// Latency of store calls that do not wait for records, in seconds.
     pub store_latency: Histogram,
+    /// Records that were skipped because they could not be decoded, by topic.
+    pub records_skipped: Family<Label, Counter>,
     /// Tokens settled.
     pub tokens: Counter,
     /// Streams that callers took up, by what was known of their origin.
@@ -57,6 +59,7 @@
             dispatches: Family::default(),
             store_calls: Family::default(),
             store_latency: Histogram::new(BUCKETS),
+            records_skipped: Family::default(),
             tokens: Counter::default(),
             streams_taken_up: Family::default(),
             path_changes: Family::default(),
@@ -83,6 +86,8 @@
         registry.register("store_calls", "Calls to the store, by outcome", self.store_calls.clone());
         let store = self.store_latency.clone();
         registry.register_with_unit("store_call", "Calls to the store that do not wait", Unit::Seconds, store);
+        let skipped = self.records_skipped.clone();
+        registry.register("records_skipped", "Records that could not be decoded, by topic", skipped);
         registry.register("settled_tokens", "Tokens settled", self.tokens.clone());
         let taken_up = self.streams_taken_up.clone();
         registry.register("streams_taken_up", "Streams that callers took up, by what was known of them", taken_up);
--- a/crates/serving/src/observations.rs
+++ b/crates/serving/src/observations.rs
@@ -16,8 +16,6 @@
 use crate::crash_detection::note_changes;
 use crate::dispatch::{note_brittle_changes, note_limit_changes};
 use crate::interfaces::{KeyedLog, KeyedRecord, Topic};
-use crate::log_event;
-use crate::log_events::LogEvent;
 use crate::topic_reader::{PollPolicy, RecordSink, follow};
 
 /// Polling of the observations: an idle fleet makes one call in eight seconds an instance, and hundreds of instances
@@ -116,7 +114,7 @@
         let message = match ObservationMessage::decode(value) {
             Ok(message) => message,
             Err(error) => {
-                log_event!(LogEvent::RecordSkipped, "topic=observations key={:?} reason={error}", record.key);
+                self.board.note_skipped(Topic::Observations, &record.key, &error);
                 return;
             }
         };
--- a/crates/serving/src/peer_list.rs
+++ b/crates/serving/src/peer_list.rs
@@ -134,7 +134,7 @@
                 }
             }
             Err(reason) => {
-                log_event!(LogEvent::RecordSkipped, "topic=instances key={:?} reason={reason}", record.key);
+                self.board.note_skipped(Topic::Instances, &record.key, &reason);
             }
         }
     }
--- a/crates/serving/src/server_controller.rs
+++ b/crates/serving/src/server_controller.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 
 use crate::blackboard::{Blackboard, ListProgress};
-use crate::interfaces::{KeyedRecord, RecordDecoder};
+use crate::interfaces::{KeyedRecord, RecordDecoder, Topic};
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::servers::{EntryChange, ServerEntry};
@@ -67,7 +67,7 @@
         match self.decoder.server(record) {
             Ok(entry) => Some(entry),
             Err(error) => {
-                log_event!(LogEvent::RecordSkipped, "topic=servers key={:?} reason={error}", record.key);
+                self.board.note_skipped(Topic::Servers, &record.key, &error);
                 None
             }
         }
--- a/crates/serving/src/stream_registry.rs
+++ b/crates/serving/src/stream_registry.rs
@@ -20,8 +20,6 @@
 
 use crate::blackboard::Blackboard;
 use crate::interfaces::{KeyedLog, KeyedRecord, RecordDecoder, Topic};
-use crate::log_event;
-use crate::log_events::LogEvent;
 use crate::server_list::ServerList;
 use crate::shared_read::{Freshness, SharedRead};
 use crate::topic_reader::read_newest;
@@ -167,7 +165,7 @@
         let message = match StreamRecordMessage::decode(record.value.clone()?) {
             Ok(message) => message,
             Err(error) => {
-                log_event!(LogEvent::RecordSkipped, "topic=streams key={:?} reason={error}", record.key);
+                self.board.note_skipped(Topic::Streams, &record.key, &error);
                 return None;
             }
         };
