Believe a refusal on a kept connection only if it names the request

Cause: a claim of "not run" (`Not-Executed`, 421) counted for whatever request waited on the connection unless another id was echoed. Over the hop between instances the id is not enough: the peer could send a request to the server that had refused it before over a kept connection. Class: a claim that is not tied to what it is about. Bytes between two requests were no fault: hyper closes the connection and returns the request unsent, which the tests show for whole and cut refusals.

Change: on a connection that has carried a request, such a claim counts only with the request's id, otherwise the outcome is unknown. A request that another instance has sent before goes over a new connection. Nothing changes on links and in records.

--- a/crates/serving/src/admitted_request.rs
+++ b/crates/serving/src/admitted_request.rs
@@ -67,6 +67,8 @@
     pub dispatches: u32,
     /// Whether the request may have run on a server.
     pub maybe_run: bool,
+    /// Whether another instance has sent the request to a server before.
+    pub sent_elsewhere: bool,
     /// Whether the generation was answered whole.
     pub is_whole: bool,
 }
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -236,6 +236,8 @@
 }
 
 /// Sends `request` to `server` and reads the head of the response.
+///
+/// Unless it `may_reuse` one, the request goes over a connection that has carried no other.
 pub async fn send_request(
     board: &Blackboard,
     protocol: &dyn BackendProtocol,
@@ -243,9 +245,11 @@
     server: &Server,
     context: &DispatchContext<'_>,
     deadline: Instant,
+    may_reuse: bool,
 ) -> Result<ServerResponse, DispatchError> {
     let path = board.paths.of(&server.entry.service);
-    let mut lease = match server.pool.take_idle() {
+    let idle = if may_reuse { server.pool.take_idle() } else { None };
+    let mut lease = match idle {
         Some(lease) => lease,
         None => connect(board, server, &path, deadline).await?,
     };
@@ -264,7 +268,7 @@
     };
     path.note_heard();
     let (head, body) = response.into_parts();
-    let kind = protocol.classify_head(request, &head);
+    let kind = protocol.classify_head(request, &head, reused);
     if kind != ResponseKind::OtherServer {
         note_server(board, server, &protocol.notice(&head));
     }
--- a/crates/serving/src/interfaces.rs
+++ b/crates/serving/src/interfaces.rs
@@ -211,7 +211,10 @@
     fn encode(&self, request: &CallerRequest, context: &DispatchContext<'_>) -> Request<Full<Bytes>>;
 
     /// Classifies the head of a response to `request`.
-    fn classify_head(&self, request: &CallerRequest, head: &Parts) -> ResponseKind;
+    ///
+    /// On a `reused` connection the server may have written a refusal of an earlier request once more, so there a claim that
+    /// the request did not run counts only if it names the request.
+    fn classify_head(&self, request: &CallerRequest, head: &Parts, reused: bool) -> ResponseKind;
 
     /// Reads what the head of a response tells about its server.
     fn notice(&self, head: &Parts) -> ServerNotice;
--- a/crates/serving/src/request_admission.rs
+++ b/crates/serving/src/request_admission.rs
@@ -93,7 +93,7 @@
         let engines = table.service(&service).and_then(|spec| spec.engines.as_ref());
         let event_tokens = engines.map_or(EVENT_TOKENS_DEFAULT, |spec| spec.event_tokens);
         let tried_servers = Vec::new();
-        let (arrivals, dispatches, maybe_run, is_whole) = (0, 0, false, false);
+        let (arrivals, dispatches, maybe_run, sent_elsewhere, is_whole) = (0, 0, false, false, false);
         Ok(AdmittedRequest {
             request,
             route,
@@ -111,6 +111,7 @@
             arrivals,
             dispatches,
             maybe_run,
+            sent_elsewhere,
             is_whole,
         })
     }
--- a/crates/serving/src/request_handler.rs
+++ b/crates/serving/src/request_handler.rs
@@ -158,6 +158,7 @@
         };
         // The forwarding instance has taken the retry from its share.
         (admitted.arrivals, admitted.dispatches, admitted.maybe_run) = (dispatches, dispatches, dispatches > 0);
+        admitted.sent_elsewhere = dispatches > 0;
         match self.dispatch(&mut admitted).await {
             Ok(exchange) => self.relay(admitted, exchange, open_request).await,
             Err(refusal) => open_request.refuse(refusal),
@@ -322,7 +323,9 @@
         context: &DispatchContext<'_>,
     ) -> Result<ServerResponse, DispatchError> {
         let (request, deadline) = (&admitted.request, admitted.deadline);
-        let sending = send_request(&self.board, &*self.protocol, request, server, context, deadline);
+        // The refusal of an earlier sending, by another instance, cannot be told from one of this sending.
+        let may_reuse = !admitted.sent_elsewhere;
+        let sending = send_request(&self.board, &*self.protocol, request, server, context, deadline, may_reuse);
         if repeats_of(&admitted.route, admitted.dispatches + 1) == 0 {
             return sending.await;
         }
--- a/crates/testkit/src/plain_protocol.rs
+++ b/crates/testkit/src/plain_protocol.rs
@@ -41,9 +41,11 @@
         builder.body(Full::new(request.body.clone())).expect("the parts form a request")
     }
 
-    fn classify_head(&self, request: &CallerRequest, head: &Parts) -> ResponseKind {
-        let has_request_id = head.headers.get("x-id").is_some_and(|id| id.as_bytes() == request.id.as_bytes());
+    fn classify_head(&self, request: &CallerRequest, head: &Parts, reused: bool) -> ResponseKind {
+        let echoed_id = head.headers.get("x-id");
+        let has_request_id = echoed_id.is_some_and(|id| id.as_bytes() == request.id.as_bytes());
         match head.status {
+            _ if (echoed_id.is_some() || reused) && !has_request_id => ResponseKind::Unusable("another id"),
             StatusCode::MISDIRECTED_REQUEST => ResponseKind::OtherServer,
             _ if head.headers.contains_key("x-not-run") => ResponseKind::NotRun,
             _ if !has_request_id => ResponseKind::Unusable("another id"),
