--- a/crates/core/src/ceilings.rs
+++ b/crates/core/src/ceilings.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::forgotten_use::{ForgottenUse, bounded, dropped};
 use crate::names::ClientAccountName;
 use crate::quarantine::SuspectReport;
 use crate::units::{Instant, LogPosition, Tokens};
@@ -43,7 +44,7 @@
 
     /// Tokens of the reserve that a dead holder may have used when its newest record was at most `age` old, if that is
     /// known. A holder of an earlier version states no rate and may use its whole reserve after [`ISOLATION_TIMEOUT`].
-    fn reserve_in_doubt(&self, age: Option<Duration>) -> Tokens {
+    pub(crate) fn reserve_in_doubt(&self, age: Option<Duration>) -> Tokens {
         match age.map(|age| age + CLOCK_MARGIN) {
             Some(age) if !self.reserve_rate.is_zero() => self.usable_reserve(age),
             Some(age) if age < ISOLATION_TIMEOUT => Tokens::ZERO,
@@ -122,6 +123,10 @@
     pub witnesses: BTreeMap<Arc<str>, u64>,
     /// Requests that the holder suspects of crashing backend servers; every instance reads these records anyway.
     pub suspects: Vec<SuspectReport>,
+    /// Whether the holder keeps the use of accounts that its document leaves out, as earlier software does not.
+    pub keeps_use: bool,
+    /// What other holders have forgotten, as far as this one knows.
+    pub forgotten: ForgottenUse,
 }
 
 /// Age of a dead holder's newest record when its instance started again.
@@ -192,6 +197,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CeilingTable {
     holders: BTreeMap<Arc<str>, HolderEntry>,
+    /// Use that holders of earlier software have dropped from their records; it is part of their entries.
+    forgotten: ForgottenUse,
     next: LogPosition,
     /// When the present era of the store was entered; long ago if no change of era was seen.
     entered_at: Instant,
@@ -254,13 +261,45 @@
         let order = |record: &HolderRecord| (record.number, record.closed, record.era);
         match self.holders.get(holder) {
             Some(known) if order(&known.record) > order(&record) => {}
-            _ => {
+            known => {
+                let dropped = known.map(|known| dropped(&known.record, &record, now.since(known.read_at)));
+                let forgotten = self.forgotten.entry(Arc::clone(holder)).or_default();
+                forgotten.extend(dropped.unwrap_or_default());
+                forgotten.retain(|account, _| !record.ceilings.contains_key(account));
+                let told = record.forgotten.clone();
                 let seen_era = self.next.era;
                 self.holders.insert(Arc::clone(holder), HolderEntry { record, read_at: now, seen_era });
+                self.restore(holder);
+                self.merge_forgotten(told);
             }
         }
     }
 
+    /// Adds what another holder tells of use that was dropped, unless the record concerned has it.
+    fn merge_forgotten(&mut self, told: ForgottenUse) {
+        for (holder, accounts) in told {
+            let known = self.holders.get(&holder).map(|entry| entry.record.ceilings.clone()).unwrap_or_default();
+            let unknown = accounts.into_iter().filter(|(account, _)| !known.contains_key(account));
+            self.forgotten.entry(Arc::clone(&holder)).or_default().extend(unknown);
+            self.restore(&holder);
+        }
+    }
+
+    /// Adds to the entry of `holder` what it has dropped.
+    fn restore(&mut self, holder: &Arc<str>) {
+        let Some(forgotten) = self.forgotten.get(holder) else { return };
+        if forgotten.is_empty() {
+            self.forgotten.remove(holder);
+        } else if let Some(entry) = self.holders.get_mut(holder) {
+            entry.record.ceilings.extend(forgotten.clone());
+        }
+    }
+
+    /// Use that holders of earlier software have dropped, for the next record of a holder.
+    pub(crate) fn forgotten(&self) -> ForgottenUse {
+        bounded(&self.forgotten)
+    }
+
     /// Whether the newest records of all open holders but `own` were written in the present era of the store, so that
     /// none of their earlier raises can be unknown.
     pub fn is_complete(&self, own: &str) -> bool {
--- a/crates/core/src/holder_credit.rs
+++ b/crates/core/src/holder_credit.rs
@@ -14,6 +14,7 @@
 
 use crate::account_credit::{AccountCredit, Limit};
 use crate::ceilings::{AccountCeiling, CeilingTable, HolderRecord, ISOLATION_TIMEOUT, OtherHolders};
+use crate::forgotten_use::ForgottenUse;
 use crate::headroom::{CeilingPolicy, HeadroomInput, PERCENT, TargetHeadroom};
 use crate::lenders::{CreditRole, LENDERS_PER_ACCOUNT};
 use crate::names::ClientAccountName;
@@ -39,9 +40,6 @@
 /// A ceiling is lowered once its headroom is above this many percent of the target.
 const LOWER_ABOVE_PERCENT: u64 = 200;
 
-/// Number of accounts in an archive.
-const ARCHIVE_SIZE: usize = 128;
-
 /// Account whose ceiling is planned.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedAccount<'a> {
@@ -74,6 +72,8 @@
     pending: Option<PendingRecord>,
     /// Number of the newest planned record, and era in which it was planned.
     planned: (u64, u64),
+    /// What the newest planned record tells of other holders.
+    forgotten: ForgottenUse,
     /// Number of the newest own record that was read.
     read_number: u64,
     /// Whether an older own record was written after the newest one.
@@ -108,6 +108,7 @@
             last_written: None,
             pending: None,
             planned: (0, 0),
+            forgotten: ForgottenUse::new(),
             read_number: 0,
             is_covered: false,
         }
@@ -196,14 +197,11 @@
         }
         // The other holders' use during the isolation was not read yet, so a reserve sized now would be too large.
         let was_isolated = self.isolation(now) > ISOLATION_TIMEOUT;
-        let mut is_due = force;
-        let witnesses = table.witnesses(&self.holder, now);
-        let RecordMetadata { era, document, timestamp, suspects } = metadata;
-        let number = self.planned.0 + 1;
+        let mut record = self.next_record(table, metadata, now);
+        let (era, document) = (record.era, record.document);
         // The store may have lost the newest record, so it is written again in each era.
-        is_due |= (era > self.planned.1 && self.holds_credit()) || self.is_covered;
-        let mut record =
-            HolderRecord { number, era, document, timestamp, witnesses, suspects, ..HolderRecord::default() };
+        let mut is_due = force || (era > self.planned.1 && self.holds_credit()) || self.is_covered;
+        is_due |= table.record(&self.holder).is_some_and(|own| own.forgotten != record.forgotten);
         for PlannedAccount { name: account, prepaid, role } in accounts {
             let others = table.others(&self.holder, account, now, self.policy.silence);
             let credit = self.accounts.entry(account.clone()).or_default();
@@ -239,48 +237,27 @@
         }
         let archive = self.archive(&mut record, &left_out);
         let previous_write = self.last_written.replace(now);
-        self.planned = (number, era);
+        self.planned = (record.number, era);
+        self.forgotten = record.forgotten.clone();
         self.is_covered = false;
         self.pending = Some(PendingRecord { record: record.clone(), archive, previous_write });
         self.update_limits();
         Some(record)
     }
 
-    /// What this holder's ceilings must cover of the accounts that were not planned in `record`.
-    fn left_out(&self, record: &HolderRecord) -> BTreeMap<ClientAccountName, AccountCeiling> {
-        let others = self.accounts.iter().filter(|(account, _)| !record.ceilings.contains_key(*account));
-        others.map(|(account, credit)| (account.clone(), credit.final_ceiling())).collect()
-    }
-
-    /// Moves the use of accounts that were left out to a record of its own once there are many, so that the records which
-    /// are written all the time stay small. It counts as one of a closed holder and never changes.
-    fn archive(
-        &self,
-        record: &mut HolderRecord,
-        left_out: &BTreeMap<ClientAccountName, AccountCeiling>,
-    ) -> Option<(Arc<str>, HolderRecord)> {
-        let is_settled =
-            |account: &ClientAccountName| self.accounts.get(account).is_some_and(AccountCredit::is_settled);
-        let kept = left_out.iter().filter(|(account, kept)| !kept.settled.is_zero() && is_settled(account));
-        let ceilings: BTreeMap<_, _> =
-            kept.map(|(account, kept)| (account.clone(), *kept)).take(ARCHIVE_SIZE).collect();
-        if ceilings.len() < ARCHIVE_SIZE {
-            return None;
-        }
-        record.ceilings.retain(|account, _| !ceilings.contains_key(account));
-        let HolderRecord { number, era, document, .. } = *record;
-        let archive = HolderRecord { ceilings, number, era, document, closed: true, ..HolderRecord::default() };
-        Some((format!("{}+{number}", self.holder).into(), archive))
-    }
-
-    /// Forgets the use that `archive` holds from now on.
-    fn forget_archived(&mut self, archive: &HolderRecord) {
-        for (account, archived) in &archive.ceilings {
-            let Some(credit) = self.accounts.get_mut(account) else { continue };
-            credit.used = credit.used.saturating_sub(archived.settled);
-            if credit.is_settled() && credit.used.is_zero() {
-                self.accounts.remove(account);
-            }
+    /// Next record of this holder, without ceilings.
+    fn next_record(&self, table: &CeilingTable, metadata: RecordMetadata, now: Instant) -> HolderRecord {
+        let RecordMetadata { era, document, timestamp, suspects } = metadata;
+        HolderRecord {
+            number: self.planned.0 + 1,
+            era,
+            document,
+            timestamp,
+            witnesses: table.witnesses(&self.holder, now),
+            suspects,
+            keeps_use: true,
+            forgotten: table.forgotten(),
+            ..HolderRecord::default()
         }
     }
 
@@ -290,7 +267,9 @@
             self.accounts.iter().map(|(account, credit)| (account.clone(), credit.final_ceiling())).collect();
         self.planned.0 += 1;
         let (number, era) = self.planned;
-        let record = HolderRecord { ceilings, number, era, document, closed: true, ..HolderRecord::default() };
+        let forgotten = self.forgotten.clone();
+        let closed = HolderRecord { closed: true, keeps_use: true, ..HolderRecord::default() };
+        let record = HolderRecord { ceilings, number, era, document, forgotten, ..closed };
         self.pending = Some(PendingRecord { record: record.clone(), archive: None, previous_write: self.last_written });
         self.update_limits();
         record
@@ -374,6 +353,11 @@
         self.accounts.iter()
     }
 
+    /// Forgets `account`, of which this holder has used nothing that its records must hold.
+    pub(crate) fn remove_account(&mut self, account: &ClientAccountName) {
+        self.accounts.remove(account);
+    }
+
     pub(crate) fn accounts_mut(&mut self) -> impl Iterator<Item = (&ClientAccountName, &mut AccountCredit)> {
         self.accounts.iter_mut()
     }
--- a/crates/serving/src/blackboard.rs
+++ b/crates/serving/src/blackboard.rs
@@ -17,7 +17,7 @@
 use coltsfootpick_core::selection::Location;
 use coltsfootpick_core::server_limits::{ServerLimits, ServerRun};
 use coltsfootpick_core::stream_origins::StreamOrigins;
-use coltsfootpick_core::units::{ClockReading, Instant, LogPosition};
+use coltsfootpick_core::units::{ClockReading, Instant};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
@@ -25,6 +25,7 @@
 
 use crate::buffered_body::BufferedTotal;
 use crate::interfaces::Topic;
+use crate::list_progress::ListWatch;
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::metrics::Metrics;
@@ -80,15 +81,6 @@
     pub capacity: u32,
 }
 
-/// How far this instance has read the list of backend servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ListProgress {
-    /// Position after the last entry that was applied.
-    pub position: LogPosition,
-    /// Instant since which no entry can have been missed.
-    pub complete_since: tokio::time::Instant,
-}
-
 /// Number of instances assumed until more are known.
 const FLEET_SIZE_MIN: usize = 6;
 
@@ -101,6 +93,8 @@
     pub clock: InstanceClock,
     /// Backend servers.
     pub servers: ServerTable,
+    /// How far the list of backend servers was read.
+    pub server_list: ListWatch,
     /// Paths of this instance to the servers of each service.
     pub paths: Paths,
     /// Utilization of the network link.
@@ -134,7 +128,6 @@
     routes: RwLock<Option<Arc<RouteTable>>>,
     document_versions: watch::Sender<u64>,
     servers_listed: AtomicBool,
-    list_progress: watch::Sender<Option<ListProgress>>,
     store_answers: AtomicBool,
     store_answered_at: Mutex<Instant>,
     fleet: RwLock<Fleet>,
@@ -154,6 +147,7 @@
             clock,
             paths: Paths::new(clock, metrics.path_changes.clone()),
             servers: ServerTable::default(),
+            server_list: ListWatch::default(),
             quarantine: Mutex::default(),
             part_blame: Mutex::default(),
             stream_origins: Mutex::default(),
@@ -170,7 +164,6 @@
             routes: RwLock::default(),
             document_versions: watch::Sender::new(0),
             servers_listed: AtomicBool::new(false),
-            list_progress: watch::Sender::new(None),
             store_answers: AtomicBool::new(true),
             store_answered_at: Mutex::default(),
             fleet: RwLock::default(),
@@ -214,23 +207,6 @@
         self.servers_listed.store(true, Ordering::Release);
     }
 
-    /// Records how far the list of backend servers was read and applied.
-    pub fn note_list_read(&self, progress: ListProgress) {
-        self.list_progress.send_replace(Some(progress));
-    }
-
-    /// How far the list of backend servers was read, if it was read at all.
-    pub fn list_progress(&self) -> Option<ListProgress> {
-        *self.list_progress.borrow()
-    }
-
-    /// Waits until the list of backend servers was read and applied up to `position`.
-    pub async fn list_applied(&self, position: LogPosition) {
-        let is_applied = |progress: &Option<ListProgress>| progress.is_some_and(|known| known.position >= position);
-        // The sender lives as long as the blackboard, so waiting cannot fail.
-        let _ = self.list_progress.subscribe().wait_for(is_applied).await;
-    }
-
     /// Whether the instance has a document and the server list, and is not draining.
     pub fn is_ready(&self) -> bool {
         self.servers_listed.load(Ordering::Acquire) && self.routes.read().is_some() && !self.draining.is_cancelled()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod blackboard;
 pub mod buffered_body;
 pub mod counted_log;
+pub mod list_progress;
 pub mod paths;
 pub mod pool;
 pub mod retry_share;
--- a/crates/serving/src/server_controller.rs
+++ b/crates/serving/src/server_controller.rs
@@ -18,8 +18,9 @@
 use coltsfootpick_core::units::LogPosition;
 use tokio::time::Instant;
 
-use crate::blackboard::{Blackboard, ListProgress};
+use crate::blackboard::Blackboard;
 use crate::interfaces::{KeyedRecord, RecordDecoder, Topic};
+use crate::list_progress::ListProgress;
 use crate::log_event;
 use crate::log_events::LogEvent;
 use crate::servers::{EntryChange, ServerEntry};
@@ -168,7 +169,7 @@
 
     fn note_read(&mut self, next: LogPosition) {
         if let Some(complete_since) = self.complete_since {
-            self.board.note_list_read(ListProgress { position: next, complete_since });
+            self.board.server_list.note(ListProgress { position: next, complete_since });
         }
     }
 
--- a/crates/serving/src/server_list.rs
+++ b/crates/serving/src/server_list.rs
@@ -11,8 +11,9 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::blackboard::{Blackboard, ListProgress};
+use crate::blackboard::Blackboard;
 use crate::interfaces::{KeyedLog, RecordDecoder, Topic};
+use crate::list_progress::ListProgress;
 use crate::shared_read::{Freshness, SharedRead};
 
 /// Longest wait for the newest entries.
@@ -43,7 +44,7 @@
 
     /// Instant since which no entry can have been missed, if it has passed.
     pub fn complete_since(&self) -> Option<Instant> {
-        let progress = self.board.list_progress()?;
+        let progress = self.board.server_list.progress()?;
         Some(progress.complete_since).filter(|since| *since <= Instant::now())
     }
 
@@ -58,12 +59,12 @@
             return false;
         }
         let seen = *self.seen.lock();
-        tokio::time::timeout(APPLY_TIMEOUT, self.board.list_applied(seen)).await.is_ok()
+        tokio::time::timeout(APPLY_TIMEOUT, self.board.server_list.reached(seen)).await.is_ok()
     }
 
     /// Reads the entries after those that were applied or seen before; returns the pause before the next read.
     async fn read(&self) -> Option<Duration> {
-        let ListProgress { position, .. } = self.board.list_progress()?;
+        let ListProgress { position, .. } = self.board.server_list.progress()?;
         let mut next = position.max(*self.seen.lock());
         loop {
             let batch = self.store.read(Topic::Servers, next, Duration::ZERO).await.ok()?;
--- a/crates/testkit/src/request_harness.rs
+++ b/crates/testkit/src/request_harness.rs
@@ -8,12 +8,13 @@
 use coltsfootpick_core::routes::{AccountSpec, CallerLimits, EngineSpec, RepeatPolicy, Route, RouteTable, ServiceSpec};
 use coltsfootpick_core::selection::Generation;
 use coltsfootpick_core::units::Tokens;
-use coltsfootpick_serving::blackboard::{Blackboard, InstanceSpec, ListProgress};
+use coltsfootpick_serving::blackboard::{Blackboard, InstanceSpec};
 use coltsfootpick_serving::counted_log::CountedLog;
 use coltsfootpick_serving::credit_controller::CreditController;
 use coltsfootpick_serving::forward_server::ForwardServer;
 use coltsfootpick_serving::forwarder::Forwarder;
 use coltsfootpick_serving::interfaces::{KeyedLog, Topic};
+use coltsfootpick_serving::list_progress::ListProgress;
 use coltsfootpick_serving::observations;
 use coltsfootpick_serving::path_controller::PathController;
 use coltsfootpick_serving::request::CallerRequest;
@@ -95,7 +96,7 @@
             board.servers.put(server_entry(&letter.to_string(), *address));
         }
         board.mark_servers_listed();
-        board.note_list_read(ListProgress { position: store.end(Topic::Servers), complete_since: Instant::now() });
+        board.server_list.note(ListProgress { position: store.end(Topic::Servers), complete_since: Instant::now() });
         board.mark_fleet_listed();
         let holder: Arc<str> = format!("{name}/{:x}", rand::random::<u32>()).into();
         let policy = CeilingPolicy::default();
--- a/crates/wire/src/ceilings.rs
+++ b/crates/wire/src/ceilings.rs
@@ -1,5 +1,6 @@
 //! Encoded record of a holder's ceilings; the store keeps the newest record of each holder.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,6 +68,23 @@
     /// Era of the store in which the record was written.
     #[prost(uint64, tag = "8")]
     pub era: u64,
+    /// Whether the holder keeps the use of accounts that its document leaves out; earlier software does not state it.
+    #[prost(bool, tag = "9")]
+    pub keeps_use: bool,
+    /// What other holders have dropped from their records.
+    #[prost(message, repeated, tag = "10")]
+    pub forgotten: Vec<ForgottenMessage>,
+}
+
+/// Use that a holder has dropped from its records.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ForgottenMessage {
+    /// Name of the holder.
+    #[prost(string, tag = "1")]
+    pub holder: String,
+    /// What it may have used.
+    #[prost(message, repeated, tag = "2")]
+    pub ceilings: Vec<CeilingMessage>,
 }
 
 /// Request suspected of crashing backend servers.
@@ -130,19 +148,40 @@
     })
 }
 
+fn encode_ceilings(ceilings: &BTreeMap<ClientAccountName, AccountCeiling>) -> Vec<CeilingMessage> {
+    let encode = |(account, ceiling): (&ClientAccountName, &AccountCeiling)| CeilingMessage {
+        account: account.to_string(),
+        ceiling: ceiling.ceiling.0,
+        settled: ceiling.settled.0,
+        reserve: ceiling.reserve.0,
+        reserve_rate: ceiling.reserve_rate.0,
+    };
+    ceilings.iter().map(encode).collect()
+}
+
+fn decode_ceilings(ceilings: Vec<CeilingMessage>) -> BTreeMap<ClientAccountName, AccountCeiling> {
+    let decode = |entry: CeilingMessage| {
+        let ceiling = AccountCeiling {
+            ceiling: Tokens(entry.ceiling),
+            settled: Tokens(entry.settled),
+            reserve: Tokens(entry.reserve),
+            reserve_rate: Tokens(entry.reserve_rate),
+        };
+        (ClientAccountName::from(entry.account), ceiling)
+    };
+    ceilings.into_iter().map(decode).collect()
+}
+
 impl From<&HolderRecord> for HolderRecordMessage {
     fn from(record: &HolderRecord) -> Self {
-        let encode = |(account, ceiling): (&ClientAccountName, &AccountCeiling)| CeilingMessage {
-            account: account.to_string(),
-            ceiling: ceiling.ceiling.0,
-            settled: ceiling.settled.0,
-            reserve: ceiling.reserve.0,
-            reserve_rate: ceiling.reserve_rate.0,
-        };
         let witness =
             |(instance, at): (&Arc<str>, &u64)| WitnessMessage { instance: instance.to_string(), timestamp: *at };
+        let forgotten = |(holder, ceilings): (&Arc<str>, &BTreeMap<_, _>)| ForgottenMessage {
+            holder: holder.to_string(),
+            ceilings: encode_ceilings(ceilings),
+        };
         Self {
-            ceilings: record.ceilings.iter().map(encode).collect(),
+            ceilings: encode_ceilings(&record.ceilings),
             document_version: record.document,
             closed: record.closed,
             timestamp: record.timestamp,
@@ -150,23 +189,17 @@
             suspects: record.suspects.iter().map(Into::into).collect(),
             number: record.number,
             era: record.era,
+            keeps_use: record.keeps_use,
+            forgotten: record.forgotten.iter().map(forgotten).collect(),
         }
     }
 }
 
 impl From<HolderRecordMessage> for HolderRecord {
     fn from(message: HolderRecordMessage) -> Self {
-        let decode = |entry: CeilingMessage| {
-            let ceiling = AccountCeiling {
-                ceiling: Tokens(entry.ceiling),
-                settled: Tokens(entry.settled),
-                reserve: Tokens(entry.reserve),
-                reserve_rate: Tokens(entry.reserve_rate),
-            };
-            (ClientAccountName::from(entry.account), ceiling)
-        };
+        let forgotten = |entry: ForgottenMessage| (entry.holder.into(), decode_ceilings(entry.ceilings));
         Self {
-            ceilings: message.ceilings.into_iter().map(decode).collect(),
+            ceilings: decode_ceilings(message.ceilings),
             document: message.document_version,
             closed: message.closed,
             timestamp: message.timestamp,
@@ -174,6 +207,8 @@
             suspects: message.suspects.into_iter().filter_map(into_report).collect(),
             number: message.number,
             era: message.era,
+            keeps_use: message.keeps_use,
+            forgotten: message.forgotten.into_iter().map(forgotten).collect(),
         }
     }
 }
