Count no loan twice that a holder of drops from its record

In a mixed fleet an instance of the older build that settles its loans may leave an account out of its record without having forgotten anything: the lender holds the use. Found by reading the diff: such use would have counted twice, and a false 402 could follow.

Change: what a holder has dropped counts at most up to its own ceiling, and not at all without one.

--- a/crates/core/src/forgotten_use.rs
+++ b/crates/core/src/forgotten_use.rs
@@ -28,12 +28,14 @@
     }
     let written = Duration::from_millis(next.timestamp.saturating_sub(known.timestamp));
     let in_doubt = |entry: &AccountCeiling| AccountCeiling {
+        settled: entry.settled.min(entry.ceiling),
         reserve: entry.reserve_in_doubt(Some(written.max(gap))),
         reserve_rate: Tokens::ZERO,
         ..*entry
     };
-    // An account that was never used may have been left out as its ceiling was lowered to nothing.
-    let used = known.ceilings.iter().filter(|(_, entry)| !entry.settled.is_zero());
+    // An account that was never used may have been left out as its ceiling was lowered to nothing, and use above the ceiling
+    // was covered by loans, which their lenders hold.
+    let used = known.ceilings.iter().filter(|(_, entry)| !entry.settled.is_zero() && !entry.ceiling.is_zero());
     let dropped = used.filter(|(account, _)| !next.ceilings.contains_key(*account));
     dropped.map(|(account, entry)| (account.clone(), in_doubt(entry))).collect()
 }
