Test a repeated refusal while a long body is being written

With the rule for kept connections taken out of the test's protocol the caller is told "not run" and the server has run the request; with it the outcome is unknown.

--- a/crates/serving/tests/repeated_refusals.rs
+++ b/crates/serving/tests/repeated_refusals.rs
@@ -10,6 +10,10 @@
 use coltsfootpick_testkit::request_harness::{RequestHarness, request};
 use coltsfootpick_testkit::scripted_server::{Script, ScriptedServer, ServerAction, response};
 use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Length of a body that no buffer of a connection holds, in bytes.
+const LONG_BODY: usize = 8 << 20;
 
 /// Refusal that names no request.
 const UNNAMED: &str = "HTTP/1.1 503 X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
@@ -98,6 +102,40 @@
     }
 }
 
+/// The refusal comes while the body of the next request is still being written, which the server then reads and runs.
+#[tokio::test]
+async fn within_long_body() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let ran = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let (mut buffer, mut text) = (vec![0; 16 << 10], String::new());
+        while !text.ends_with("body") {
+            let count = stream.read(&mut buffer).await.unwrap();
+            text.push_str(std::str::from_utf8(&buffer[..count]).unwrap());
+        }
+        let id = coltsfootpick_testkit::scripted_server::header(&text, "x-id").unwrap();
+        let answer = format!("HTTP/1.1 200 X\r\nx-id: {id}\r\ncontent-length: 2\r\n\r\nok");
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        let mut received = stream.read(&mut buffer).await.unwrap();
+        stream.write_all(UNNAMED.as_bytes()).await.unwrap();
+        while received < LONG_BODY {
+            match stream.read(&mut buffer).await {
+                Ok(count) if count > 0 => received += count,
+                _ => return false,
+            }
+        }
+        true
+    });
+    let harness = RequestHarness::start("edge-a", &KeyedStore::default(), &[address]);
+    harness.wait_for_credit().await;
+    assert_eq!(ended(harness.handler.serve(request("apply")).await).unwrap(), "ok");
+    let body = bytes::Bytes::from(vec![b'x'; LONG_BODY]);
+    let refusal = ended(harness.handler.serve(CallerRequest { body, ..request("apply") }).await).unwrap_err();
+    let has_run = ran.await.unwrap();
+    assert_eq!(refusal.run, RunStatus::MayHaveRun, "run={has_run} {refusal}");
+}
+
 /// A refusal that names the request is believed, on a kept connection too, and one on a new connection in any case.
 #[test_case(true, true; "named on a kept connection")]
 #[test_case(true, false; "named on a new connection")]
