review: end what a case started when it cannot go on, format

Cause: a case that panicked left its edge processes running, and ended with another code than 2. Change: a panic ends the processes, removes the temporary folder and ends with 2; the files are formatted.

--- a/review/harness-2/harness.rs
+++ b/review/harness-2/harness.rs
@@ -9,7 +9,7 @@
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -58,6 +58,14 @@
         std::fs::create_dir_all(&temp).expect("a temporary folder");
         let record = Record::create(&folder.join("record.txt"));
         record.line(&format!("start trouble={trouble}"));
+        // A case that cannot go on ends what it started.
+        let left = temp.clone();
+        std::panic::set_hook(Box::new(move |info| {
+            eprintln!("{info}");
+            kill_all();
+            let _ = std::fs::remove_dir_all(&left);
+            std::process::exit(2);
+        }));
         // A case that hangs ends by itself.
         thread::spawn(|| {
             thread::sleep(Duration::from_secs(115));
@@ -83,7 +91,8 @@
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 fn kill_all() {
-    for pid in CHILDREN.lock().unwrap().drain(..) {
+    let Ok(mut children) = CHILDREN.lock() else { return };
+    for pid in children.drain(..) {
         let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).stderr(Stdio::null()).status();
     }
 }
@@ -121,7 +130,7 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        if bytes[at] == b'%' && at + 2 < bytes.len() + 0 {
+        if bytes[at] == b'%' && at + 2 < bytes.len() {
             if let Ok(byte) = u8::from_str_radix(&text[at + 1..at + 3], 16) {
                 out.push(byte);
                 at += 3;
@@ -195,7 +204,8 @@
     pub fn read_request(&mut self) -> std::io::Result<Option<Request>> {
         let Some((first, headers)) = self.read_head()? else { return Ok(None) };
         let mut words = first.split(' ');
-        let (method, target) = (words.next().unwrap_or_default().to_owned(), words.next().unwrap_or_default().to_owned());
+        let (method, target) =
+            (words.next().unwrap_or_default().to_owned(), words.next().unwrap_or_default().to_owned());
         let length = find(&headers, "content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
         let body = match self.take(length)? {
             Some(body) => body,
@@ -463,11 +473,8 @@
             .take(500)
             .map(|(key, (offset, value))| format!(r#"{{"key":"{key}","value":"{}","offset":{offset}}}"#, base64(value)))
             .collect();
-        let text = format!(
-            r#"{{"entries":[{}],"has-more":{has_more},"end-offset":{}}}"#,
-            entries.join(","),
-            records.len()
-        );
+        let text =
+            format!(r#"{{"entries":[{}],"has-more":{has_more},"end-offset":{}}}"#, entries.join(","), records.len());
         drop(state);
         respond(conn, "200 OK", &era, text.as_bytes())
     }
